--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -30,7 +30,7 @@
 	serviceMax     = 63      // bytes
 )
 
-// Lapse is how long an announcement holds when it is not repeated.
+// Lapse is how long an announcement holds that is not repeated, unless WithLapse says otherwise.
 const Lapse = 3 * time.Second
 
 // Announcement is what an upstream says about itself. The zero value is no upstream.
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -33,6 +33,7 @@
 	tmb    tomb.Tomb
 	logger *logger.Logger
 	notify func(Announcement, Cause)
+	lasts  time.Duration
 
 	mu    sync.Mutex
 	now   Announcement
@@ -59,9 +60,18 @@
 // Calls come one after the other.
 func WithNotify(fn func(Announcement, Cause)) Option { return func(an *Announcer) { an.notify = fn } }
 
+// WithLapse sets how long an announcement holds that is not repeated; zero or less keeps Lapse.
+func WithLapse(lapse time.Duration) Option {
+	return func(an *Announcer) {
+		if lapse > 0 {
+			an.lasts = lapse
+		}
+	}
+}
+
 // New returns an announcer without an upstream.
 func New(opts ...Option) *Announcer {
-	an := &Announcer{notify: func(Announcement, Cause) {}}
+	an := &Announcer{notify: func(Announcement, Cause) {}, lasts: Lapse}
 	for _, opt := range opts {
 		opt(an)
 	}
@@ -102,13 +112,13 @@
 	an.notify(an.now, CauseLapsed)
 }
 
-// Take takes an announcement; it holds for Lapse.
+// Take takes an announcement; it holds until it lapses.
 func (an *Announcer) Take(nw Announcement) {
 	an.mu.Lock()
 	defer an.mu.Unlock()
 	old := an.now
 	an.now = nw
-	an.until = time.Now().Add(Lapse)
+	an.until = time.Now().Add(an.lasts)
 	if !old.SameUpstream(nw) || old.State != nw.State {
 		an.logger.Log(eventAnnounced, "service", nw.Service, "address", nw.Address, "state", nw.State, "slots", nw.Slots)
 	}
@@ -163,5 +173,5 @@
 	an.Take(nw)
 	wr.Header().Set("Content-Type", "application/json")
 	// An upstream that has gone announces itself again.
-	_ = json.NewEncoder(wr).Encode(answer{LapsesAfterMs: Lapse.Milliseconds()})
+	_ = json.NewEncoder(wr).Encode(answer{LapsesAfterMs: an.lasts.Milliseconds()})
 }
--- a/cmd/gypsumhoist/table.go
+++ b/cmd/gypsumhoist/table.go
@@ -222,6 +222,6 @@
 	return []string{
 		rt.GetWorkspace(), rt.GetRoute(), rt.GetService(), rt.GetOpen(), rt.GetImportance(), rt.GetWeight(),
 		rt.GetRate(), rt.GetBurst(), rt.GetRetries(), rt.GetRetryPercent(), rt.GetIdempotent(), rt.GetDeadline(),
-		rt.GetObjective(), rt.GetCutOff(), strconv.FormatUint(rt.GetNumber(), 10),
+		rt.GetLatency(), rt.GetObjective(), rt.GetCutOff(), strconv.FormatUint(rt.GetNumber(), 10),
 	}
 }
--- a/connector/attempt.go
+++ b/connector/attempt.go
@@ -162,3 +162,13 @@
 	}
 	return unprocessed(err)
 }
+
+// abort closes the connection that the transport chose.
+func (at *attempt) abort() {
+	at.mu.Lock()
+	pc := at.conn
+	at.mu.Unlock()
+	if pc != nil {
+		_ = pc.Close()
+	}
+}
--- a/connector/options.go
+++ b/connector/options.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,11 +46,13 @@
 	maxHeaderBytes    int
 	maxStreams        int
 	peers             bool
+	answerCheck       func(*http.Request, *http.Response) error
 }
 
 func newConfig(opts []Option) config {
 	cf := config{
 		network:           &TCP{},
+		answerCheck:       func(*http.Request, *http.Response) error { return nil },
 		dialTimeout:       DefaultDialTimeout,
 		idleTimeout:       DefaultIdleTimeout,
 		pingAfter:         DefaultPingAfter,
@@ -142,5 +145,16 @@
 // Only for ports that nobody but peers can reach.
 func WithPeerTraffic() Option { return func(cf *config) { cf.peers = true } }
 
+// WithAnswerCheck has an UpstreamPool look at the head of each answer. An error means that the answer is not
+// the one to the request: it is dropped with its connection, and the request fails as one that may have run.
+// Nil takes every answer.
+func WithAnswerCheck(check func(*http.Request, *http.Response) error) Option {
+	return func(cf *config) {
+		if check != nil {
+			cf.answerCheck = check
+		}
+	}
+}
+
 // WithMaxStreams bounds the requests at one time on one HTTP/2 connection of a Server.
 func WithMaxStreams(n int) Option { return func(cf *config) { positive(&cf.maxStreams, n) } }
--- a/connector/upstreampool.go
+++ b/connector/upstreampool.go
@@ -95,6 +95,12 @@
 		return nil, newFailure(req.Context(), at.notRun1(), err)
 	}
 	rsp.Request = req
+	if err := up.config.answerCheck(req, rsp); err != nil {
+		// The connection goes with the answer, as nobody knows what else comes on it.
+		at.abort()
+		_ = rsp.Body.Close()
+		return nil, newFailure(req.Context(), false, err)
+	}
 	return rsp, nil
 }
 
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -34,6 +34,7 @@
 	hd.Set(gypsumhoist.HeaderRequest, string(id))
 	if after > 0 {
 		hd.Set("Retry-After", strconv.FormatInt(after, 10))
+		hd.Set(gypsumhoist.HeaderRetryAfter, strconv.FormatInt(rf.RetryAfter.Milliseconds(), 10))
 	}
 	wr.WriteHeader(rf.Reason.Status())
 	// A caller that has gone does not read its refusal.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -23,7 +23,7 @@
 	var tried []gypsumhoist.Instance
 	var last *gypsumhoist.Refusal
 	for no := uint32(1); ; no++ {
-		pk, err := fw.router.Pick(cl.row.Service, cl.idempotent, tried...)
+		pk, err := fw.router.Pick(cl.service, cl.idempotent, tried...)
 		if err != nil {
 			return nil, cmp.Or(last, asRefusal(err))
 		}
@@ -43,7 +43,7 @@
 
 // retry decides whether a failed attempt is followed by another.
 func (fw *Forwarder) retry(key retrier.RowKey, cl *call, rf *gypsumhoist.Refusal, tried int) bool {
-	vw := fw.router.View(cl.row.Service)
+	vw := fw.router.View(cl.service)
 	dec := fw.retrier.Decide(key, cl.row.RetryPercent, retrier.Failure{
 		Verdict:           rf.Verdict,
 		Reason:            rf.Reason,
@@ -106,7 +106,7 @@
 		Route:      cl.row.Route,
 		KeyId:      string(cl.keyID),
 		Importance: int32(cl.importance),
-		Weight:     int32(cl.row.Weight),
+		Weight:     int32(cl.weight()),
 		DeadlineUs: time.Until(cl.deadline).Microseconds(),
 		Budget:     int32(budget),
 		Depth:      int32(cl.depth),
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,10 +18,14 @@
 
 // call is one request that came to this node from a caller or from the node's own upstream.
 type call struct {
-	id         gypsumhoist.RequestID
-	workspace  gypsumhoist.Workspace
-	keyID      registrar.KeyID
-	row        *registrar.Row
+	id        gypsumhoist.RequestID
+	workspace gypsumhoist.Workspace
+	keyID     registrar.KeyID
+	row       *registrar.Row
+	// bounds is what bounds all routes of the workspace together; nil for nothing.
+	bounds *registrar.Row
+	// service is where the request goes, which a row with a split decides for each request.
+	service    gypsumhoist.Service
 	revision   uint64
 	importance gypsumhoist.Importance
 	depth      int
@@ -45,6 +50,9 @@
 	return gypsumhoist.RequestID(id.String())
 }
 
+// freshFor is how old a table may be for a node to say what it does not hold: an older one may lack the row or key.
+const freshFor = 2 * time.Second
+
 // enter finds out for whom a caller's request runs and by which row.
 func (fw *Forwarder) enter(req *http.Request, cl *call) *gypsumhoist.Refusal {
 	key, found := authenticator.TakeKey(req.Header)
@@ -61,27 +69,35 @@
 	}
 	gr, ok := tb.Authenticate(key)
 	if !ok {
-		return gypsumhoist.NotRun(gypsumhoist.ReasonBadKey, 0, "the key is unknown or withdrawn")
+		return fw.absent(gypsumhoist.ReasonBadKey, "the key is unknown or withdrawn")
 	}
 	cl.keyID = gr.KeyID
-	rw, ok := tb.Lookup(gr.Workspace, req.URL.Path)
+	rw, ok := tb.Lookup(gr.Workspace, req.Host, req.URL.Path)
 	if !ok {
 		return fw.enterOpen(tb, req, cl, gypsumhoist.ReasonNoRow)
 	}
-	cl.fresh(rw, req.Method)
+	fw.fresh(cl, tb, rw, gr.Workspace, req.Method)
 	return fw.checkAge(rw)
 }
 
 // enterOpen takes a request in on a route open to all; without one it refuses with the given reason.
 func (fw *Forwarder) enterOpen(tb *registrar.Table, req *http.Request, cl *call, rs gypsumhoist.Reason) *gypsumhoist.Refusal {
-	rw, ok := tb.LookupOpen(req.URL.Path)
+	rw, ok := tb.LookupOpen(req.Host, req.URL.Path)
 	if !ok {
-		return gypsumhoist.NotRun(rs, 0, "the table has no row that lets this request in")
+		return fw.absent(rs, "the table has no row that lets this request in")
 	}
-	cl.fresh(rw, req.Method)
+	fw.fresh(cl, tb, rw, rw.Workspace, req.Method)
 	return fw.checkAge(rw)
 }
 
+// absent refuses what the table does not hold; an old table can't tell.
+func (fw *Forwarder) absent(rs gypsumhoist.Reason, detail string) *gypsumhoist.Refusal {
+	if fw.holder.Age() > freshFor {
+		return gypsumhoist.NotRun(gypsumhoist.ReasonTableStale, freshFor, detail+", but the table is old")
+	}
+	return gypsumhoist.NotRun(rs, 0, detail)
+}
+
 // enterNested finds the call in flight that an upstream's own call belongs to.
 func (fw *Forwarder) enterNested(req *http.Request, cl *call) *gypsumhoist.Refusal {
 	tok := req.Header.Get(gypsumhoist.HeaderCall)
@@ -101,11 +117,11 @@
 	if rf := checkParent(tb, parent, key, found); rf != nil {
 		return rf
 	}
-	rw, ok := tb.Lookup(parent.Workspace, req.URL.Path)
+	rw, ok := tb.Lookup(parent.Workspace, req.Host, req.URL.Path)
 	if !ok {
 		return fw.enterOpen(tb, req, cl, gypsumhoist.ReasonNoRow)
 	}
-	cl.fresh(rw, req.Method)
+	fw.fresh(cl, tb, rw, parent.Workspace, req.Method)
 	cl.inherit(parent)
 	return fw.checkAge(rw)
 }
@@ -124,16 +140,43 @@
 	return nil
 }
 
-// fresh sets what a request takes from its row.
-func (cl *call) fresh(rw *registrar.Row, method string) {
+// fresh sets what a request takes from its row and its workspace.
+func (fw *Forwarder) fresh(cl *call, tb *registrar.Table, rw *registrar.Row, ws gypsumhoist.Workspace, method string) {
 	cl.row = rw
-	cl.workspace = rw.Workspace
+	cl.workspace = ws
+	cl.service = fw.splitter.service(rw)
 	cl.importance = rw.Importance
+	if bd, ok := tb.Bounds(ws); ok {
+		cl.bounds = bd
+		if bd.Importance != registrar.ImportanceOfRoute {
+			cl.importance = bd.Importance
+		}
+	}
 	cl.deadline = cl.started.Add(rw.Deadline)
 	cl.budget = retrier.NewBudget(rw.Retries)
 	cl.idempotent = idempotent(rw.Idempotent, method)
 }
 
+// weight returns the workspace's share of a queue.
+func (cl *call) weight() int {
+	if cl.bounds != nil {
+		return cl.bounds.Weight
+	}
+	return cl.row.Weight
+}
+
+// limit takes over the time that the caller will wait, where that is shorter than the row's.
+// What can't be read counts as nothing said.
+func (cl *call) limit(hd http.Header) {
+	ms, err := strconv.ParseInt(hd.Get(gypsumhoist.HeaderDeadline), 10, 64)
+	if err != nil || ms < 0 || ms > int64(registrar.DeadlineLongest/time.Millisecond) {
+		return
+	}
+	if at := cl.started.Add(time.Duration(ms) * time.Millisecond); at.Before(cl.deadline) {
+		cl.deadline = at
+	}
+}
+
 // inherit sets what a nested call takes from the call that it belongs to.
 func (cl *call) inherit(parent *authenticator.Call[*retrier.Budget]) {
 	cl.id = parent.Request
--- a/forwarder/forecast.go
+++ b/forwarder/forecast.go
@@ -64,11 +64,11 @@
 }
 
 // target is the service that a call goes to.
-func (cl *call) target() admitter.Target { return admitter.Target{Service: cl.row.Service} }
+func (cl *call) target() admitter.Target { return admitter.Target{Service: cl.service} }
 
 // routeTarget is the service together with the route, for what lies deeper.
 func (cl *call) routeTarget() admitter.Target {
-	return admitter.Target{Service: cl.row.Service, Route: cl.row.Route}
+	return admitter.Target{Service: cl.service, Route: cl.row.Route}
 }
 
 // forecast refuses a fresh request at its entry that nearly all upstreams,
@@ -77,7 +77,7 @@
 	if cl.depth > 0 {
 		return nil
 	}
-	upstreams := fw.router.View(cl.row.Service).Upstreams
+	upstreams := fw.router.View(cl.service).Upstreams
 	if rf := fw.forecaster.Refuse(cl.target(), cl.importance, upstreams); rf != nil {
 		return rf
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -75,6 +75,8 @@
 	watch      func(gypsumhoist.Service)
 	meters     meters
 	deeper     deeper
+	splitter   splitter
+	unframed   bool
 }
 
 type upstreamSlot struct {
@@ -146,6 +148,10 @@
 // WithWatch calls a function for each service that a request asks for; it must be fast.
 func WithWatch(wt func(gypsumhoist.Service)) Option { return func(fw *Forwarder) { fw.watch = wt } }
 
+// WithUnframed takes an upstream's answer that has neither length nor chunks as whole where its connection ends
+// in order; one that is reset is cut short. Otherwise such answers are refused.
+func WithUnframed(take bool) Option { return func(fw *Forwarder) { fw.unframed = take } }
+
 // WithBounds sets the longest body in bytes and the longest time to the first byte of an answer.
 // Values of zero or less keep the defaults.
 func WithBounds(bodyBytes int64, firstByte time.Duration) Option {
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -223,6 +223,10 @@
 	rn.token = fw.calls.Begin(rn.call)
 	out.Header.Set(gypsumhoist.HeaderCall, rn.token)
 	out.Header.Set(gypsumhoist.HeaderRequest, hop.GetRequest())
+	out.Header.Set(gypsumhoist.HeaderAttempt, strconv.FormatUint(uint64(hop.GetAttempt()), 10))
+	if hop.GetKeyId() != "" {
+		out.Header.Set(gypsumhoist.HeaderWorkspace, hop.GetWorkspace())
+	}
 	out.Header.Set(gypsumhoist.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	rs, err := fw.head(ctx, up, out)
 	if err != nil {
@@ -270,12 +274,12 @@
 // checkAnswer turns answers that are refusals, or can't be passed on whole, into refusals.
 func (fw *Forwarder) checkAnswer(rn *running) *gypsumhoist.Refusal {
 	rs := rn.rs
-	if unframed(rs) {
+	if unframed(rs) && !fw.unframed {
 		rn.end(errUnframed)
 		return &gypsumhoist.Refusal{Verdict: gypsumhoist.VerdictRan, Reason: gypsumhoist.ReasonConnection, Detail: errUnframed.Error()}
 	}
 	// An upstream that made a call of its own has run, whatever it copies from that call's refusal.
-	if !refusalStatus(rs.StatusCode) || rn.call.Nested() ||
+	if rn.call.Nested() || rs.StatusCode < http.StatusBadRequest ||
 		rs.Header.Get(gypsumhoist.HeaderVerdict) != gypsumhoist.VerdictNotRun.String() {
 		return nil
 	}
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -34,6 +34,9 @@
 // prefetch takes in an answer of known small length whole.
 func (rp *reply) prefetch() *gypsumhoist.Refusal {
 	size := rp.rs.ContentLength
+	if unframed(rp.rs) {
+		return rp.takeUnframed()
+	}
 	if size <= 0 || size > prefetchBytes || rp.rs.Request != nil && rp.rs.Request.Method == http.MethodHead {
 		return nil
 	}
@@ -41,6 +44,16 @@
 	return rf
 }
 
+// takeUnframed takes in an answer that ends with its connection, as far as a node keeps answers;
+// one that is whole by then gets a length.
+func (rp *reply) takeUnframed() *gypsumhoist.Refusal {
+	ahead, whole, rf := rp.takeIn(prefetchBytes)
+	if rf == nil && whole {
+		rp.rs.ContentLength = int64(len(ahead))
+	}
+	return rf
+}
+
 // takeIn reads up to size bytes of an answer ahead and returns them.
 // The second result tells whether they are the whole answer.
 // A refusal means that the answer broke off; the reply has ended then.
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/explainer"
+	"github.com/gypsumhoist/gypsumhoist/registrar"
 )
 
 // Callers returns the handler of the port where callers' requests come in.
@@ -33,6 +34,7 @@
 		fw.refuse(wr, cl, "authenticator", rf)
 		return
 	}
+	cl.limit(req.Header)
 	fw.describe(cl)
 	if rf := fw.prepare(req, cl); rf != nil {
 		fw.refuse(wr, cl, "forwarder", rf)
@@ -50,10 +52,10 @@
 	rc.Route = cl.row.Route
 	rc.Row = cl.row.Number
 	rc.Key = string(cl.keyID)
-	rc.Service = cl.row.Service
+	rc.Service = cl.service
 	rc.Importance = cl.importance
 	if fw.watch != nil {
-		fw.watch(cl.row.Service)
+		fw.watch(cl.service)
 	}
 }
 
@@ -89,12 +91,17 @@
 		fw.deeper.learn(cl)
 		return nil
 	}
-	if err := fw.spender.Spend(ctx, cl.row, cl.importance); err != nil {
-		rf := asRefusal(err)
-		cl.record.Note("limiter", "refused", rf.Detail)
-		return rf
+	for _, rw := range []*registrar.Row{cl.bounds, cl.row} {
+		if rw == nil || !rw.Bounded() {
+			continue
+		}
+		if err := fw.spender.Spend(ctx, rw, cl.importance); err != nil {
+			rf := asRefusal(err)
+			cl.record.Note("limiter", "refused", rf.Detail)
+			return rf
+		}
+		cl.record.Note("limiter", "token spent", "")
 	}
-	cl.record.Note("limiter", "token spent", "")
 	return nil
 }
 
--- a/header.go
+++ b/header.go
@@ -14,8 +14,14 @@
 	HeaderRequest = "Gypsumhoist-Request"
 	// HeaderCall carries the call token to an upstream, which returns it on its own calls.
 	HeaderCall = "Gypsumhoist-Call"
-	// HeaderDeadline carries the milliseconds that are left, to an upstream.
+	// HeaderDeadline carries the milliseconds that are left: to an upstream, and from a caller that waits no longer.
 	HeaderDeadline = "Gypsumhoist-Deadline-Ms"
+	// HeaderWorkspace carries the workspace for which a request runs, to an upstream; it is missing where no key came.
+	HeaderWorkspace = "Gypsumhoist-Workspace"
+	// HeaderAttempt carries the number of the attempt of a request at an upstream, from 1.
+	HeaderAttempt = "Gypsumhoist-Attempt"
+	// HeaderRetryAfter carries on a refusal the milliseconds after which a caller may ask again; Retry-After has them in seconds.
+	HeaderRetryAfter = "Gypsumhoist-Retry-After-Ms"
 	// HeaderKey carries the caller's key; "Authorization: Bearer <key>" is the other way.
 	HeaderKey = "Gypsumhoist-Key"
 	// HeaderIdempotencyKey marks a request that must run at most once.
--- a/loader/check.go
+++ b/loader/check.go
@@ -51,6 +51,8 @@
 	ck.control(st)
 	ck.tls(st)
 	ck.bounds(st.Bounds)
+	ck.upstream(st.Upstream)
+	ck.span("stop.killed_after", st.Stop.KilledAfter, 0, timeMax)
 	ck.span("stop.grace", st.Stop.Grace, 0, timeMax)
 	ck.span("stop.longest", st.Stop.Longest, 0, timeMax)
 	return errors.Join(ck.faults...)
@@ -99,6 +101,9 @@
 }
 
 func (ck *checker) control(st Settings) {
+	if lb := st.Control.LossesBorne; lb < 0 || lb > lossesBorneMax {
+		ck.fault("control.losses_borne", lb, fmt.Sprintf("0 to %d", lossesBorneMax))
+	}
 	if st.Has(RoleControl) && st.DataFolder == "" {
 		ck.fault("data_folder", "", "a folder, since the control role keeps files")
 	}
@@ -116,16 +121,27 @@
 func (ck *checker) tls(st Settings) {
 	files := []string{st.TLS.Authority, st.TLS.Certificate, st.TLS.Key}
 	empty := slices.Index(files, "") >= 0
+	if st.TLS.PlainNetwork && !empty {
+		ck.fault("tls.plain_network", true, "false where certificates are named")
+	}
 	if empty && !slices.Equal(files, []string{"", "", ""}) {
 		ck.fault("tls", files, "authority, certificate and key together, or none of them")
 	}
 	for key, ap := range map[string]netip.AddrPort{"listen.peers": st.Listen.Peers, "listen.operator": st.Listen.Operator} {
-		if ap.IsValid() && !ap.Addr().IsLoopback() && empty {
-			ck.fault(key, ap, "a loopback address unless [tls] names authority, certificate and key")
+		if ap.IsValid() && !ap.Addr().IsLoopback() && empty && !st.TLS.PlainNetwork {
+			ck.fault(key, ap, "a loopback address unless [tls] names authority, certificate and key, or says plain_network")
 		}
 	}
 }
 
+func (ck *checker) upstream(us Upstream) {
+	ck.span("upstream.lapse", us.Lapse, time.Second, timeMax)
+	ck.span("upstream.idle_time", us.IdleTime, 100*time.Millisecond, timeMax)
+	if us.UnframedAnswers != UnframedRefuse && us.UnframedAnswers != UnframedTake {
+		ck.fault("upstream.unframed_answers", us.UnframedAnswers, `"refuse" or "take"`)
+	}
+}
+
 func (ck *checker) bounds(bd Bounds) {
 	if bd.HeaderBytes < headerBytesMin || bd.HeaderBytes > headerBytesMax {
 		ck.fault("bounds.header_bytes", bd.HeaderBytes, fmt.Sprintf("%d to %d bytes", headerBytesMin, headerBytesMax))
@@ -138,6 +154,7 @@
 	}
 	ck.span("bounds.header_time", bd.HeaderTime, time.Millisecond, timeMax)
 	ck.span("bounds.first_byte", bd.FirstByte, time.Millisecond, timeMax)
+	ck.span("bounds.idle_time", bd.IdleTime, time.Second, timeMax)
 }
 
 func (ck *checker) span(key string, val Duration, lo, hi time.Duration) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -32,13 +32,14 @@
 	FailureDomain gypsumhoist.FailureDomain `toml:"failure_domain"`
 	Roles         []Role                    `toml:"roles"`
 	// DataFolder holds the files of the control role.
-	DataFolder string  `toml:"data_folder"`
-	Listen     Listen  `toml:"listen"`
-	Peers      Peers   `toml:"peers"`
-	Control    Control `toml:"control"`
-	TLS        TLS     `toml:"tls"`
-	Bounds     Bounds  `toml:"bounds"`
-	Stop       Stop    `toml:"stop"`
+	DataFolder string   `toml:"data_folder"`
+	Listen     Listen   `toml:"listen"`
+	Peers      Peers    `toml:"peers"`
+	Control    Control  `toml:"control"`
+	TLS        TLS      `toml:"tls"`
+	Upstream   Upstream `toml:"upstream"`
+	Bounds     Bounds   `toml:"bounds"`
+	Stop       Stop     `toml:"stop"`
 }
 
 // Listen holds the addresses of the process's four ports.
@@ -57,6 +58,11 @@
 // Control names the members that found the replicated log together.
 type Control struct {
 	Founders []Founder `toml:"founders"`
+	// SeedsFound has the control instances at peers.seeds found the log, where no founders are named.
+	SeedsFound bool `toml:"seeds_found"`
+	// LossesBorne is how many control instances may be lost with their disks at one time:
+	// twice as many and one vote, and further ones stand by.
+	LossesBorne int `toml:"losses_borne"`
 }
 
 // Founder is one first member of the replicated log.
@@ -70,6 +76,30 @@
 	Authority   string `toml:"authority"`
 	Certificate string `toml:"certificate"`
 	Key         string `toml:"key"`
+	// PlainNetwork lets instances and operators talk without encryption or proof of identity beyond loopback.
+	// It is for networks that nobody else can reach.
+	PlainNetwork bool `toml:"plain_network"`
+}
+
+// Unframed says what becomes of an upstream's answer that has neither length nor chunks.
+type Unframed string
+
+// Kinds of Unframed.
+const (
+	// UnframedRefuse refuses such answers, as one cut short in order can't be told from a whole one.
+	UnframedRefuse Unframed = "refuse"
+	// UnframedTake takes one whose connection ends in order as whole, and one that is reset as cut short.
+	UnframedTake Unframed = "take"
+)
+
+// Upstream says what to make of the upstream beside a node.
+type Upstream struct {
+	// Lapse is how long an announcement holds that is not repeated.
+	Lapse Duration `toml:"lapse"`
+	// IdleTime is how long a connection to the upstream stays open without a request.
+	IdleTime Duration `toml:"idle_time"`
+	// UnframedAnswers is UnframedRefuse where nothing is said.
+	UnframedAnswers Unframed `toml:"unframed_answers"`
 }
 
 // Bounds limit what callers can take up.
@@ -79,6 +109,8 @@
 	Connections int      `toml:"connections"`
 	HeaderTime  Duration `toml:"header_time"`
 	FirstByte   Duration `toml:"first_byte"`
+	// IdleTime is how long a caller's connection without a request stays open.
+	IdleTime Duration `toml:"idle_time"`
 }
 
 // Stop bounds a planned stop.
@@ -87,6 +119,26 @@
 	Grace Duration `toml:"grace"`
 	// Longest bounds the wait for calls in flight.
 	Longest Duration `toml:"longest"`
+	// KilledAfter is when the environment ends the process by force, counted from its request to stop; 0 if it never does.
+	// The stop is over shortly before, whatever the other two say.
+	KilledAfter Duration `toml:"killed_after"`
+}
+
+// killMargin is how long before it would be killed a process is through with its stop, and graceShare the
+// part of that time which it may use for answering on.
+const (
+	killMargin = 250 * time.Millisecond
+	graceShare = 2
+)
+
+// Times returns grace and longest time of a stop, both within KilledAfter.
+func (sp Stop) Times() (grace, longest time.Duration) {
+	grace, longest = time.Duration(sp.Grace), time.Duration(sp.Longest)
+	if sp.KilledAfter > 0 {
+		longest = min(longest, max(time.Duration(sp.KilledAfter)-killMargin, 0))
+		grace = min(grace, longest/graceShare)
+	}
+	return grace, longest
 }
 
 // Duration is a time.Duration that reads Go's notation, such as "1.5s".
@@ -102,6 +154,9 @@
 	return nil
 }
 
+// lossesBorneMax makes every control instance vote, up to eleven of them.
+const lossesBorneMax = 5
+
 // Default returns the settings that hold where a file says nothing.
 func Default() Settings {
 	return Settings{
@@ -113,8 +168,11 @@
 			Connections: 4096,
 			HeaderTime:  Duration(5 * time.Second),
 			FirstByte:   Duration(30 * time.Second),
+			IdleTime:    Duration(30 * time.Second),
 		},
-		Stop: Stop{Grace: Duration(3 * time.Second), Longest: Duration(60 * time.Second)},
+		Upstream: Upstream{Lapse: Duration(3 * time.Second), IdleTime: Duration(30 * time.Second), UnframedAnswers: UnframedRefuse},
+		Control:  Control{LossesBorne: lossesBorneMax},
+		Stop:     Stop{Grace: Duration(3 * time.Second), Longest: Duration(60 * time.Second)},
 	}
 }
 
--- a/registrar/answer.go
+++ b/registrar/answer.go
@@ -54,6 +54,8 @@
 	Changed int
 	// Problem names the value that was refused, or is nil.
 	Problem *ValueError
+	// Sheet is the version of the sheet in force after Replace; zero for none.
+	Sheet uint64
 	// Ended says which holders of older tables refuse what the command has ended.
 	Ended Ended
 }
@@ -93,6 +95,7 @@
 		Changed:     uint32(as.Changed),
 		Refusable:   as.Ended.Refusable,
 		RefuseSince: as.Ended.Since,
+		Sheet:       as.Sheet,
 	}
 	for _, rw := range as.Rows {
 		ms.Rows = append(ms.Rows, rowMessage(rw))
@@ -123,6 +126,7 @@
 		Detail:   ms.GetDetail(),
 		Grant:    Grant{Workspace: gypsumhoist.Workspace(ms.GetWorkspace()), KeyID: KeyID(ms.GetKeyId())},
 		Changed:  int(ms.GetChanged()),
+		Sheet:    ms.GetSheet(),
 		Ended:    Ended{Refusable: ms.GetRefusable(), Since: ms.GetRefuseSince()},
 	}
 	for _, rm := range ms.GetRows() {
--- a/registrar/check.go
+++ b/registrar/check.go
@@ -82,15 +82,30 @@
 var nameAllowed = fmt.Sprintf("1 to %d of a-z, A-Z, 0-9, '.', '_' and '-', the first a letter or digit", NameLengthMax)
 
 var rowRules = []rowRule{
-	{ColumnWorkspace, nameAllowed, func(rw Row) bool { return nameFine(string(rw.Workspace)) }},
+	{
+		ColumnWorkspace, "* for every workspace, or " + nameAllowed,
+		func(rw Row) bool { return rw.Workspace == AnyWorkspace || nameFine(string(rw.Workspace)) },
+	},
 	{
 		ColumnRoute,
-		fmt.Sprintf("a path that begins with /, up to %d bytes and %d segments, without empty, '.' or '..' segments, "+
-			"query, fragment, '%%', blanks or a / at its end", RouteLengthMax, RouteSegmentsMax),
-		func(rw Row) bool { return routeFine(rw.Route) },
+		fmt.Sprintf("* for all routes of one workspace, or a path that begins with /, with or without a host before it, "+
+			"up to %d bytes and %d segments, without empty, '.' or '..' segments, query, fragment, '%%' or blanks",
+			RouteLengthMax, RouteSegmentsMax),
+		func(rw Row) bool { return rw.Route == AnyRoute && rw.Workspace != AnyWorkspace || routeFine(rw.Route) },
+	},
+	{
+		ColumnService,
+		fmt.Sprintf("a name of %s; or up to %d of them, each with a weight from 0 to %d as in \"a:90 b:10\", the sum above 0; "+
+			"nothing in a row of route *", nameAllowed, SplitMax, PartWeightMax),
+		Row.serviceFine,
+	},
+	{ColumnOpen, "false in a row of route *", func(rw Row) bool { return !rw.Open || rw.Route != AnyRoute }},
+	{
+		ColumnImportance, "0 to 100, or nothing in a row of route *",
+		func(rw Row) bool {
+			return rw.Importance >= 0 && rw.Importance <= 100 || rw.Importance == ImportanceOfRoute && rw.Route == AnyRoute
+		},
 	},
-	{ColumnService, nameAllowed, func(rw Row) bool { return nameFine(string(rw.Service)) }},
-	{ColumnImportance, "0 to 100", func(rw Row) bool { return rw.Importance >= 0 && rw.Importance <= 100 }},
 	{
 		ColumnWeight,
 		fmt.Sprintf("%d to %d", WeightMin, WeightMax),
@@ -98,13 +113,16 @@
 	},
 	{
 		ColumnRate,
-		fmt.Sprintf("requests a second, more than 0 and up to %s, with up to 3 decimals", RateMax),
-		func(rw Row) bool { return rw.Rate > 0 && rw.Rate <= RateMax },
+		fmt.Sprintf("requests a second, more than 0 and up to %s, with up to 3 decimals; rate and burst both 0 for no bound, "+
+			"where workspace or route is *", RateMax),
+		func(rw Row) bool { return rw.Rate > 0 && rw.Rate <= RateMax || rw.mayBeUnbounded() && !rw.Bounded() },
 	},
 	{
 		ColumnBurst,
 		fmt.Sprintf("whole requests, 1 to %d", BurstMax),
-		func(rw Row) bool { return rw.Burst >= 1 && rw.Burst <= BurstMax },
+		func(rw Row) bool {
+			return rw.Burst >= 1 && rw.Burst <= BurstMax || rw.mayBeUnbounded() && !rw.Bounded()
+		},
 	},
 	{
 		ColumnRetries,
@@ -125,6 +143,11 @@
 		fmt.Sprintf("a duration such as 250ms or 2s, %s to %s", DeadlineShortest, DeadlineLongest),
 		func(rw Row) bool { return rw.Deadline >= DeadlineShortest && rw.Deadline <= DeadlineLongest },
 	},
+	{
+		ColumnLatency,
+		fmt.Sprintf("a duration such as 250ms, 0s for none, up to %s", DeadlineLongest),
+		func(rw Row) bool { return rw.TargetLatency >= 0 && rw.TargetLatency <= DeadlineLongest },
+	},
 	{
 		ColumnObjective,
 		"a percentage from 0 to 100 with up to 3 decimals, such as 99.9",
@@ -148,16 +171,17 @@
 }
 
 func routeFine(rt string) bool {
-	if rt == "/" {
-		return true
-	}
-	if len(rt) > RouteLengthMax || !strings.HasPrefix(rt, "/") {
+	host, path := splitRoute(rt)
+	if len(rt) > RouteLengthMax || path == "" || host != "" && !hostFine(host) {
 		return false
 	}
-	if strings.ContainsAny(rt, "?#%\\\"") || strings.ContainsFunc(rt, func(ru rune) bool { return ru <= ' ' || ru >= 0x7f }) {
+	if path == "/" {
+		return true
+	}
+	if strings.ContainsAny(path, "?#%\\\"") || strings.ContainsFunc(path, func(ru rune) bool { return ru <= ' ' || ru >= 0x7f }) {
 		return false
 	}
-	segments := strings.Split(rt[1:], "/")
+	segments := strings.Split(strings.TrimSuffix(path[1:], "/"), "/")
 	for _, sg := range segments {
 		if sg == "" || sg == "." || sg == ".." {
 			return false
@@ -165,3 +189,17 @@
 	}
 	return len(segments) <= RouteSegmentsMax
 }
+
+// hostFine reports whether a host can stand before a route's path: a name or number in lower case, with a port or without.
+func hostFine(host string) bool {
+	return strings.Trim(host, "abcdefghijklmnopqrstuvwxyz0123456789.-:_") == "" && host != "*"
+}
+
+// splitRoute returns the host and the path of a route; the path is empty if there is no "/".
+func splitRoute(rt string) (host, path string) {
+	at := strings.IndexByte(rt, '/')
+	if at < 0 {
+		return rt, ""
+	}
+	return rt[:at], rt[at:]
+}
--- a/registrar/column.go
+++ b/registrar/column.go
@@ -17,6 +17,7 @@
 	ColumnRetryPercent Column = "retry_percent"
 	ColumnIdempotent   Column = "idempotent"
 	ColumnDeadline     Column = "deadline"
+	ColumnLatency      Column = "latency"
 	ColumnObjective    Column = "objective"
 	ColumnCutOff       Column = "cut_off"
 	ColumnNumber       Column = "number"
@@ -27,6 +28,9 @@
 	return []Column{
 		ColumnWorkspace, ColumnRoute, ColumnService, ColumnOpen, ColumnImportance,
 		ColumnWeight, ColumnRate, ColumnBurst, ColumnRetries, ColumnRetryPercent,
-		ColumnIdempotent, ColumnDeadline, ColumnObjective, ColumnCutOff, ColumnNumber,
+		ColumnIdempotent, ColumnDeadline, ColumnLatency, ColumnObjective, ColumnCutOff, ColumnNumber,
 	}
 }
+
+// optional reports whether a file may lack the column, as those do that were written before it came.
+func (cl Column) optional() bool { return cl == ColumnLatency }
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"crypto/sha256"
 	"fmt"
 
 	"google.golang.org/protobuf/proto"
@@ -67,6 +68,20 @@
 // While they stand, no change is in force everywhere before instances of the domain have confirmed it.
 type DropDomain struct{ Domain gypsumhoist.FailureDomain }
 
+// Replace puts a whole sheet in the place of all rows and keys, while Base is the version of the sheet in force.
+// The rows' numbers count nothing. Rows and keys that equal the present ones keep number and revision.
+// A sheet that was accepted before is accepted again, as a resend, whatever has come since.
+type Replace struct {
+	Version, Base uint64
+	// Digest names the content, so that a resend is known and another sheet of the same version is not taken for it.
+	Digest [sha256.Size]byte
+	Rows   []Row
+	Grants []KeyGrant
+	// Document is what the sheet was made from, kept as it is for ReadSheet.
+	Document []byte
+}
+
+func (Replace) isCommand()      {}
 func (EditRow) isCommand()      {}
 func (DropDomain) isCommand()   {}
 func (DeleteRow) isCommand()    {}
@@ -109,6 +124,8 @@
 		}}
 	case DropDomain:
 		ms.Kind = &registrarpb.Command_DropDomain{DropDomain: &registrarpb.DropDomain{Domain: string(cd.Domain)}}
+	case Replace:
+		ms.Kind = &registrarpb.Command_Replace{Replace: replaceMessage(cd)}
 	default:
 		panic(fmt.Sprintf("registrar: no command: %T", cm))
 	}
--- a/registrar/csv.go
+++ b/registrar/csv.go
@@ -142,7 +142,7 @@
 		seen[cl] = true
 	}
 	for _, cl := range Columns() {
-		if !seen[cl] {
+		if !seen[cl] && !cl.optional() {
 			cp.problems.add(&ValueError{Line: max(line, 1), Column: cl, Allowed: "a header that names this column"})
 		}
 	}
@@ -187,7 +187,7 @@
 	fine := true
 	isNew := values[ColumnNumber] == "" || values[ColumnNumber] == "0"
 	for _, cl := range Columns() {
-		if values[cl] == "" && isNew {
+		if _, given := values[cl]; values[cl] == "" && (isNew || !given && cl.optional()) {
 			continue
 		}
 		if err := rw.Set(cl, values[cl]); err != nil {
--- a/registrar/key.go
+++ b/registrar/key.go
@@ -24,8 +24,10 @@
 	keyIDBytes    = 6
 	keyIDLength   = 2 * keyIDBytes
 	keySecretSize = 32 // bytes, 256 bits
-	// KeyLength is the length of every key in bytes.
+	// KeyLength is the length in bytes of every key that MintKey makes.
 	KeyLength = len(keyPrefix) + keyIDLength + 1 + 43
+	// KeyLengthMax bounds keys that were made elsewhere, in bytes.
+	KeyLengthMax = 256
 )
 
 // Grant is what a valid key stands for.
@@ -75,10 +77,27 @@
 
 // hashKey returns the hash of a key; the second result is false for what can't be a key.
 func hashKey(key string) (KeyHash, bool) {
-	if len(key) != KeyLength {
+	if key == "" || len(key) > KeyLengthMax {
 		return KeyHash{}, false
 	}
-	var buf [KeyLength]byte
+	var buf [KeyLengthMax]byte
 	copy(buf[:], key)
-	return sha256.Sum256(buf[:]), true
+	return sha256.Sum256(buf[:len(key)]), true
+}
+
+// ForeignKey returns the grant of a key that was made elsewhere. Its id comes from its hash, so that the same key
+// has the same id wherever it is taken in. The key should hold 128 random bits or more, as it is hashed without salt.
+// The second result is false for an empty key and for one above KeyLengthMax.
+func ForeignKey(ws gypsumhoist.Workspace, key string) (KeyGrant, bool) {
+	hash, ok := hashKey(key)
+	if !ok {
+		return KeyGrant{}, false
+	}
+	return hashedGrant(ws, hash), true
+}
+
+// hashedGrant returns the grant of a key of which only the hash is known.
+func hashedGrant(ws gypsumhoist.Workspace, hash KeyHash) KeyGrant {
+	id := KeyID(hex.EncodeToString(hash[:keyIDBytes]))
+	return KeyGrant{Grant: Grant{Workspace: ws, KeyID: id}, Hash: hash}
 }
--- a/registrar/message.go
+++ b/registrar/message.go
@@ -33,9 +33,27 @@
 		Objective:    int32(rw.Objective),
 		CutOff:       uint32(rw.CutOff),
 		Number:       rw.Number,
+		LatencyNs:    int64(rw.TargetLatency),
+		Split:        splitMessages(rw.Split),
 	}
 }
 
+func splitMessages(sp Split) []*registrarpb.Part {
+	var out []*registrarpb.Part
+	for _, pt := range sp.Parts() {
+		out = append(out, &registrarpb.Part{Service: string(pt.Service), Weight: int32(pt.Weight)})
+	}
+	return out
+}
+
+func splitFromMessages(ms []*registrarpb.Part) Split {
+	var parts []Part
+	for _, pt := range ms {
+		parts = append(parts, Part{Service: gypsumhoist.Service(pt.GetService()), Weight: int(pt.GetWeight())})
+	}
+	return NewSplit(parts...)
+}
+
 // rowFromMessage returns the row of a message, or an error when Check refuses it.
 func rowFromMessage(ms *registrarpb.Row) (*rowEntry, error) {
 	if ms.GetIdempotent() > math.MaxUint8 || ms.GetCutOff() > math.MaxUint8 {
@@ -57,6 +75,9 @@
 		Objective:    int(ms.GetObjective()),
 		CutOff:       CutOff(ms.GetCutOff()),
 		Number:       ms.GetNumber(),
+
+		TargetLatency: time.Duration(ms.GetLatencyNs()),
+		Split:         splitFromMessages(ms.GetSplit()),
 	}
 	if err := rw.Check(); err != nil {
 		return nil, err
--- a/registrar/office.go
+++ b/registrar/office.go
@@ -62,6 +62,7 @@
 	peers    connector.Peers
 	proposer Proposer
 	spreader *Spreader
+	sheet    func() Sheet
 	log      *logger.Logger
 	controls atomic.Pointer[[]Source]
 }
@@ -75,6 +76,7 @@
 		peers:    op.peers,
 		proposer: op.proposer,
 		spreader: op.spreader,
+		sheet:    op.sheet,
 		log:      op.log,
 	}
 }
--- a/registrar/office_text.go
+++ b/registrar/office_text.go
@@ -26,6 +26,7 @@
 		Objective:    rw.Text(ColumnObjective),
 		CutOff:       rw.Text(ColumnCutOff),
 		Number:       rw.Number,
+		Latency:      rw.Text(ColumnLatency),
 	}
 }
 
--- a/registrar/options.go
+++ b/registrar/options.go
@@ -22,6 +22,7 @@
 
 	proposer Proposer
 	spreader *Spreader
+	sheet    func() Sheet
 }
 
 func newOptions(opts []Option) options {
@@ -68,3 +69,7 @@
 
 // WithSpreader gives an Office the spreader of its process, which knows what is in force where.
 func WithSpreader(sp *Spreader) Option { return func(op *options) { op.spreader = sp } }
+
+// WithSheet gives an Office, on control instances, the sheet in force in the state behind the log.
+// The function must be safe for concurrent use.
+func WithSheet(sheet func() Sheet) Option { return func(op *options) { op.sheet = sheet } }
--- a/registrar/registrarpb/office.connect.go
+++ b/registrar/registrarpb/office.connect.go
@@ -43,6 +43,10 @@
 	OfficeExportProcedure = "/gypsumhoist.registrar.v1.Office/Export"
 	// OfficeImportProcedure is the fully-qualified name of the Office's Import RPC.
 	OfficeImportProcedure = "/gypsumhoist.registrar.v1.Office/Import"
+	// OfficeReplaceProcedure is the fully-qualified name of the Office's Replace RPC.
+	OfficeReplaceProcedure = "/gypsumhoist.registrar.v1.Office/Replace"
+	// OfficeReadSheetProcedure is the fully-qualified name of the Office's ReadSheet RPC.
+	OfficeReadSheetProcedure = "/gypsumhoist.registrar.v1.Office/ReadSheet"
 	// OfficeGrantKeyProcedure is the fully-qualified name of the Office's GrantKey RPC.
 	OfficeGrantKeyProcedure = "/gypsumhoist.registrar.v1.Office/GrantKey"
 	// OfficeWithdrawKeyProcedure is the fully-qualified name of the Office's WithdrawKey RPC.
@@ -62,6 +66,10 @@
 	ListRows(context.Context, *connect.Request[ListRowsRequest]) (*connect.Response[ListRowsAnswer], error)
 	Export(context.Context, *connect.Request[ExportRequest]) (*connect.Response[ExportAnswer], error)
 	Import(context.Context, *connect.Request[ImportRequest]) (*connect.Response[EditAnswer], error)
+	// Replace puts a whole sheet in the place of all rows and keys while its base is the version in force.
+	Replace(context.Context, *connect.Request[ReplaceRequest]) (*connect.Response[EditAnswer], error)
+	// ReadSheet returns the newest accepted sheet, or fails where the newest one can't be told.
+	ReadSheet(context.Context, *connect.Request[ReadSheetRequest]) (*connect.Response[ReadSheetAnswer], error)
 	GrantKey(context.Context, *connect.Request[GrantKeyRequest]) (*connect.Response[EditAnswer], error)
 	WithdrawKey(context.Context, *connect.Request[WithdrawKeyRequest]) (*connect.Response[EditAnswer], error)
 	// DropDomain forgets a failure domain that was taken out for good.
@@ -111,6 +119,18 @@
 			connect.WithSchema(officeMethods.ByName("Import")),
 			connect.WithClientOptions(opts...),
 		),
+		replace: connect.NewClient[ReplaceRequest, EditAnswer](
+			httpClient,
+			baseURL+OfficeReplaceProcedure,
+			connect.WithSchema(officeMethods.ByName("Replace")),
+			connect.WithClientOptions(opts...),
+		),
+		readSheet: connect.NewClient[ReadSheetRequest, ReadSheetAnswer](
+			httpClient,
+			baseURL+OfficeReadSheetProcedure,
+			connect.WithSchema(officeMethods.ByName("ReadSheet")),
+			connect.WithClientOptions(opts...),
+		),
 		grantKey: connect.NewClient[GrantKeyRequest, EditAnswer](
 			httpClient,
 			baseURL+OfficeGrantKeyProcedure,
@@ -151,6 +171,8 @@
 	listRows    *connect.Client[ListRowsRequest, ListRowsAnswer]
 	export      *connect.Client[ExportRequest, ExportAnswer]
 	_import     *connect.Client[ImportRequest, EditAnswer]
+	replace     *connect.Client[ReplaceRequest, EditAnswer]
+	readSheet   *connect.Client[ReadSheetRequest, ReadSheetAnswer]
 	grantKey    *connect.Client[GrantKeyRequest, EditAnswer]
 	withdrawKey *connect.Client[WithdrawKeyRequest, EditAnswer]
 	dropDomain  *connect.Client[DropDomainRequest, EditAnswer]
@@ -183,6 +205,16 @@
 	return c._import.CallUnary(ctx, req)
 }
 
+// Replace calls gypsumhoist.registrar.v1.Office.Replace.
+func (c *officeClient) Replace(ctx context.Context, req *connect.Request[ReplaceRequest]) (*connect.Response[EditAnswer], error) {
+	return c.replace.CallUnary(ctx, req)
+}
+
+// ReadSheet calls gypsumhoist.registrar.v1.Office.ReadSheet.
+func (c *officeClient) ReadSheet(ctx context.Context, req *connect.Request[ReadSheetRequest]) (*connect.Response[ReadSheetAnswer], error) {
+	return c.readSheet.CallUnary(ctx, req)
+}
+
 // GrantKey calls gypsumhoist.registrar.v1.Office.GrantKey.
 func (c *officeClient) GrantKey(ctx context.Context, req *connect.Request[GrantKeyRequest]) (*connect.Response[EditAnswer], error) {
 	return c.grantKey.CallUnary(ctx, req)
@@ -215,6 +247,10 @@
 	ListRows(context.Context, *connect.Request[ListRowsRequest]) (*connect.Response[ListRowsAnswer], error)
 	Export(context.Context, *connect.Request[ExportRequest]) (*connect.Response[ExportAnswer], error)
 	Import(context.Context, *connect.Request[ImportRequest]) (*connect.Response[EditAnswer], error)
+	// Replace puts a whole sheet in the place of all rows and keys while its base is the version in force.
+	Replace(context.Context, *connect.Request[ReplaceRequest]) (*connect.Response[EditAnswer], error)
+	// ReadSheet returns the newest accepted sheet, or fails where the newest one can't be told.
+	ReadSheet(context.Context, *connect.Request[ReadSheetRequest]) (*connect.Response[ReadSheetAnswer], error)
 	GrantKey(context.Context, *connect.Request[GrantKeyRequest]) (*connect.Response[EditAnswer], error)
 	WithdrawKey(context.Context, *connect.Request[WithdrawKeyRequest]) (*connect.Response[EditAnswer], error)
 	// DropDomain forgets a failure domain that was taken out for good.
@@ -260,6 +296,18 @@
 		connect.WithSchema(officeMethods.ByName("Import")),
 		connect.WithHandlerOptions(opts...),
 	)
+	officeReplaceHandler := connect.NewUnaryHandler(
+		OfficeReplaceProcedure,
+		svc.Replace,
+		connect.WithSchema(officeMethods.ByName("Replace")),
+		connect.WithHandlerOptions(opts...),
+	)
+	officeReadSheetHandler := connect.NewUnaryHandler(
+		OfficeReadSheetProcedure,
+		svc.ReadSheet,
+		connect.WithSchema(officeMethods.ByName("ReadSheet")),
+		connect.WithHandlerOptions(opts...),
+	)
 	officeGrantKeyHandler := connect.NewUnaryHandler(
 		OfficeGrantKeyProcedure,
 		svc.GrantKey,
@@ -302,6 +350,10 @@
 			officeExportHandler.ServeHTTP(w, r)
 		case OfficeImportProcedure:
 			officeImportHandler.ServeHTTP(w, r)
+		case OfficeReplaceProcedure:
+			officeReplaceHandler.ServeHTTP(w, r)
+		case OfficeReadSheetProcedure:
+			officeReadSheetHandler.ServeHTTP(w, r)
 		case OfficeGrantKeyProcedure:
 			officeGrantKeyHandler.ServeHTTP(w, r)
 		case OfficeWithdrawKeyProcedure:
@@ -341,6 +393,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gypsumhoist.registrar.v1.Office.Import is not implemented"))
 }
 
+func (UnimplementedOfficeHandler) Replace(context.Context, *connect.Request[ReplaceRequest]) (*connect.Response[EditAnswer], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gypsumhoist.registrar.v1.Office.Replace is not implemented"))
+}
+
+func (UnimplementedOfficeHandler) ReadSheet(context.Context, *connect.Request[ReadSheetRequest]) (*connect.Response[ReadSheetAnswer], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gypsumhoist.registrar.v1.Office.ReadSheet is not implemented"))
+}
+
 func (UnimplementedOfficeHandler) GrantKey(context.Context, *connect.Request[GrantKeyRequest]) (*connect.Response[EditAnswer], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gypsumhoist.registrar.v1.Office.GrantKey is not implemented"))
 }
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -28,6 +28,7 @@
 	// served counts the rows of each workspace that are cut_off=serve.
 	served map[gypsumhoist.Workspace]int
 	table  *Table
+	sheet  sheet
 }
 
 // NewState returns an empty state of revision 0.
@@ -107,6 +108,8 @@
 		return st.setControl(kd.SetControl)
 	case *registrarpb.Command_DropDomain:
 		return st.dropDomain(gypsumhoist.FailureDomain(kd.DropDomain.GetDomain()))
+	case *registrarpb.Command_Replace:
+		return st.replace(kd.Replace, proposed)
 	default:
 		return refused("the command is of a kind that is unknown here")
 	}
@@ -121,7 +124,7 @@
 
 // Snapshot returns the whole state for Restore.
 func (st *State) Snapshot() []byte {
-	ms := &registrarpb.Snapshot{Table: st.all.delta(0), Edits: st.edits.messages()}
+	ms := &registrarpb.Snapshot{Table: st.all.delta(0), Edits: st.edits.messages(), Sheet: st.sheet.message()}
 	for ws, rv := range sorted(st.serveUntil) {
 		ms.ServeUntil = append(ms.ServeUntil, &registrarpb.ServeUntil{Workspace: string(ws), Revision: rv})
 	}
@@ -154,6 +157,7 @@
 	for _, su := range ms.GetServeUntil() {
 		next.serveUntil[gypsumhoist.Workspace(su.GetWorkspace())] = su.GetRevision()
 	}
+	next.sheet = sheetFromMessage(ms.GetSheet())
 	*st = *next
 	return nil
 }
--- a/registrar/state_ended.go
+++ b/registrar/state_ended.go
@@ -43,7 +43,7 @@
 }
 
 func servedCount(re *rowEntry) int {
-	if re.row.CutOff == CutOffServe {
+	if re.row.CutOff == CutOffServe && re.row.Route != AnyRoute {
 		return 1
 	}
 	return 0
@@ -51,8 +51,8 @@
 
 // withdrawalEnds says who refuses a withdrawn key of the workspace once cut off.
 func (st *State) withdrawalEnds(ws gypsumhoist.Workspace) Ended {
-	if st.served[ws] > 0 {
+	if st.served[ws] > 0 || st.served[AnyWorkspace] > 0 {
 		return Ended{}
 	}
-	return Ended{Refusable: true, Since: st.serveUntil[ws] + 1}
+	return Ended{Refusable: true, Since: max(st.serveUntil[ws], st.serveUntil[AnyWorkspace]) + 1}
 }
--- a/registrar/state_test.go
+++ b/registrar/state_test.go
@@ -109,7 +109,7 @@
 		as := apply(st, "", newRow("builders", "/board", "open=true"))
 		Expect(as.Outcome).To(Equal(registrar.OutcomeRefused))
 		Expect(as.Problem.Column).To(Equal(registrar.ColumnOpen))
-		rw, ok := st.Table().LookupOpen("/board/today")
+		rw, ok := st.Table().LookupOpen("", "/board/today")
 		Expect(ok).To(BeTrue())
 		Expect(rw.Workspace).To(BeEquivalentTo("derwent"))
 	})
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -28,6 +28,7 @@
 	controls   []ControlMember
 
 	workspaces map[gypsumhoist.Workspace]*routes
+	bounds     map[gypsumhoist.Workspace]*Row // of AnyRoute
 	open       *routes
 	keys       map[KeyHash]*KeyGrant
 }
@@ -59,6 +60,7 @@
 		rows:       make([]*Row, 0, len(cs.rows)),
 		grants:     make([]*KeyGrant, 0, len(cs.grants)),
 		workspaces: map[gypsumhoist.Workspace]*routes{},
+		bounds:     map[gypsumhoist.Workspace]*Row{},
 		open:       newRoutes(),
 		keys:       make(map[KeyHash]*KeyGrant, len(cs.grants)),
 	}
@@ -81,6 +83,10 @@
 
 func (tb *Table) addRow(rw *Row) {
 	tb.rows = append(tb.rows, rw)
+	if rw.Route == AnyRoute {
+		tb.bounds[rw.Workspace] = rw
+		return
+	}
 	rs := tb.workspaces[rw.Workspace]
 	if rs == nil {
 		rs = newRoutes()
@@ -111,26 +117,41 @@
 	return tb.all.revision
 }
 
-// Lookup returns the workspace's row with the longest route that is a prefix of path on segment borders.
+// Lookup returns the row of the workspace, or else of AnyWorkspace, with the longest route that is a prefix
+// of host and path on segment borders; a row that names the host goes before one that names none.
 // The path is taken literally: dot segments and empty segments are the caller's to refuse or clean before.
 // It doesn't allocate, and its time grows with the segments of the path, not with the rows.
-func (tb *Table) Lookup(ws gypsumhoist.Workspace, path string) (*Row, bool) {
+func (tb *Table) Lookup(ws gypsumhoist.Workspace, host, path string) (*Row, bool) {
 	if tb == nil {
 		return nil, false
 	}
-	rs := tb.workspaces[ws]
+	if rs := tb.workspaces[ws]; rs != nil {
+		if rw, ok := rs.find(host, path); ok {
+			return rw, true
+		}
+	}
+	rs := tb.workspaces[AnyWorkspace]
 	if rs == nil {
 		return nil, false
 	}
-	return rs.find(path)
+	return rs.find(host, path)
 }
 
 // LookupOpen is Lookup over the rows of all workspaces that are open to callers without a key.
-func (tb *Table) LookupOpen(path string) (*Row, bool) {
+func (tb *Table) LookupOpen(host, path string) (*Row, bool) {
+	if tb == nil {
+		return nil, false
+	}
+	return tb.open.find(host, path)
+}
+
+// Bounds returns the workspace's row of AnyRoute, which bounds all its routes together.
+func (tb *Table) Bounds(ws gypsumhoist.Workspace) (*Row, bool) {
 	if tb == nil {
 		return nil, false
 	}
-	return tb.open.find(path)
+	rw := tb.bounds[ws]
+	return rw, rw != nil
 }
 
 // Authenticate returns what a key stands for; the second result is false for an unknown or withdrawn key.
--- a/registrar/table_test.go
+++ b/registrar/table_test.go
@@ -34,9 +34,9 @@
 		registrar.DefaultRow("derwent", "/slips"),
 		registrar.DefaultRow("derwent", "/slips/signed"),
 	}})
-	rw, _ := tb.Lookup("derwent", "/slips/signed/42")
+	rw, _ := tb.Lookup("derwent", "", "/slips/signed/42")
 	fmt.Println(rw.Route)
-	_, found := tb.Lookup("derwent", "/slipshod")
+	_, found := tb.Lookup("derwent", "", "/slipshod")
 	fmt.Println(found)
 	// Output:
 	// /slips/signed
@@ -63,7 +63,7 @@
 					want = rw.Route
 				}
 			}
-			rw, ok := tb.Lookup("w", asked)
+			rw, ok := tb.Lookup("w", "", asked)
 			if ok != (want != "") || ok && rw.Route != want {
 				rt.Fatalf("%q found %v, want %q", asked, rw, want)
 			}
@@ -72,9 +72,9 @@
 
 	It("has no rows when it is nil", func() {
 		var tb *registrar.Table
-		_, ok := tb.Lookup("w", "/")
+		_, ok := tb.Lookup("w", "", "/")
 		Expect(ok).To(BeFalse())
-		_, ok = tb.LookupOpen("/")
+		_, ok = tb.LookupOpen("", "/")
 		Expect(ok).To(BeFalse())
 		Expect(tb.Revision()).To(BeZero())
 		Expect(tb.Rows()).To(BeEmpty())
@@ -100,7 +100,7 @@
 			tb := manyRows(count)
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, ok := tb.Lookup("w1", "/service1/route/of/some/depth"); !ok {
+				if _, ok := tb.Lookup("w1", "", "/service1/route/of/some/depth"); !ok {
 					b.Fatal("not found")
 				}
 			}
--- a/registrar/text.go
+++ b/registrar/text.go
@@ -47,10 +47,16 @@
 	case ColumnRoute:
 		return rw.Route
 	case ColumnService:
+		if rw.Split.Len() > 0 {
+			return rw.Split.String()
+		}
 		return string(rw.Service)
 	case ColumnOpen:
 		return strconv.FormatBool(rw.Open)
 	case ColumnImportance:
+		if rw.Importance == ImportanceOfRoute {
+			return ""
+		}
 		return strconv.Itoa(int(rw.Importance))
 	case ColumnWeight:
 		return strconv.Itoa(rw.Weight)
@@ -66,6 +72,8 @@
 		return rw.Idempotent.String()
 	case ColumnDeadline:
 		return rw.Deadline.String()
+	case ColumnLatency:
+		return rw.TargetLatency.String()
 	case ColumnObjective:
 		return thousandths(int64(rw.Objective))
 	case ColumnCutOff:
@@ -101,11 +109,14 @@
 		rw.Route = txt
 		return "", true
 	case ColumnService:
-		rw.Service = gypsumhoist.Service(txt)
-		return "", true
+		return rw.setService(txt)
 	case ColumnOpen:
 		return parseInto(&rw.Open, txt, "true or false", parseBool)
 	case ColumnImportance:
+		if txt == "" && rw.Route == AnyRoute {
+			rw.Importance = ImportanceOfRoute
+			return "", true
+		}
 		return parseInto(&rw.Importance, txt, "0 to 100", parseWhole[gypsumhoist.Importance])
 	case ColumnWeight:
 		return parseInto(&rw.Weight, txt, ruleOf(cl), parseWhole[int])
@@ -121,6 +132,8 @@
 		return parseInto(&rw.Idempotent, txt, ruleOf(cl), parseIdempotence)
 	case ColumnDeadline:
 		return parseInto(&rw.Deadline, txt, ruleOf(cl), time.ParseDuration)
+	case ColumnLatency:
+		return parseInto(&rw.TargetLatency, txt, ruleOf(cl), time.ParseDuration)
 	case ColumnObjective:
 		return parseInto(&rw.Objective, txt, ruleOf(cl), parseThousandths[int])
 	case ColumnCutOff:
--- a/server/control.go
+++ b/server/control.go
@@ -5,13 +5,11 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist/journaler"
-	"github.com/gypsumhoist/gypsumhoist/loader"
 	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 	"github.com/gypsumhoist/gypsumhoist/replicator"
@@ -43,6 +41,22 @@
 	state  *registrar.State
 	group  atomic.Pointer[replicator.Group]
 	wanted chan replicator.Member
+	sheet  atomic.Pointer[registrar.Sheet]
+}
+
+// sheetNow returns the sheet in force in the state that this instance has applied.
+func (ct *control) sheetNow() registrar.Sheet {
+	if sh := ct.sheet.Load(); sh != nil {
+		return *sh
+	}
+	return registrar.Sheet{}
+}
+
+// publish shows what was applied to readers.
+func (ct *control) publish() {
+	sh := ct.state.Sheet()
+	ct.sheet.Store(&sh)
+	ct.holder.Take(ct.state.Table())
 }
 
 func newControl(sv *Server, holder *registrar.Holder) *control {
@@ -52,7 +66,7 @@
 // Apply implements replicator.Machine.
 func (ct *control) Apply(en replicator.Entry) []byte {
 	out := ct.state.Apply(en.Command, en.Proposed)
-	ct.holder.Take(ct.state.Table())
+	ct.publish()
 	return out
 }
 
@@ -64,7 +78,7 @@
 	if err := ct.state.Restore(data); err != nil {
 		return err
 	}
-	ct.holder.Take(ct.state.Table())
+	ct.publish()
 	return nil
 }
 
@@ -130,17 +144,6 @@
 	return ct.sv.host.Form(ctx, controlGroup, self, founders(ct.sv.settings))
 }
 
-func founders(st loader.Settings) []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, fd := range st.Control.Founders {
-		out = append(out, fd.Peer)
-	}
-	if len(out) == 0 {
-		out = append(out, st.Listen.Peers)
-	}
-	return out
-}
-
 func (ct *control) open(self replicator.Member, jn replicator.Journal, first []replicator.Member) error {
 	opts := []replicator.GroupOption{replicator.WithJournal(jn), replicator.WithSeed(ct.sv.random.Uint64())}
 	if len(first) > 0 {
--- a/server/groups.go
+++ b/server/groups.go
@@ -123,6 +123,9 @@
 	domains := domainsOf(tb)
 	out := []RowWarning{}
 	for _, rw := range tb.Rows() {
+		if !rw.Bounded() {
+			continue
+		}
 		if wns := limiter.Warnings(rw, domains); len(wns) > 0 {
 			out = append(out, RowWarning{Workspace: rw.Workspace, Route: rw.Route, Warnings: wns})
 		}
--- a/server/limits.go
+++ b/server/limits.go
@@ -86,6 +86,9 @@
 		out.AsOf = now.Add(-age)
 	}
 	for _, rw := range tb.Rows() {
+		if !rw.Bounded() {
+			continue
+		}
 		out.Rows = append(out.Rows, limiter.Entry{Row: rw})
 	}
 	return out
--- a/server/node.go
+++ b/server/node.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumhoist/gypsumhoist/explainer"
 	"github.com/gypsumhoist/gypsumhoist/forwarder"
 	"github.com/gypsumhoist/gypsumhoist/gossiper"
+	"github.com/gypsumhoist/gypsumhoist/loader"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 	"github.com/gypsumhoist/gypsumhoist/reporter"
 	"github.com/gypsumhoist/gypsumhoist/retrier"
@@ -55,7 +56,8 @@
 		admitter: admitter.New(admitter.WithLogger(sv.logger), admitter.WithMetrics(sv.metrics), admitter.WithRandom(sv.fork())),
 	}
 	nd.poison = newPoison(sv, nd)
-	nd.announcer = announcer.New(announcer.WithLogger(sv.logger), announcer.WithNotify(nd.announced))
+	nd.announcer = announcer.New(announcer.WithLogger(sv.logger), announcer.WithNotify(nd.announced),
+		announcer.WithLapse(time.Duration(sv.settings.Upstream.Lapse)))
 	nd.shards = newShards(sv)
 	nd.limits = newLimits(sv, nd.shards)
 	nd.claimer = claimer.New(claimer.WithGroup(nd.shards), claimer.WithLogger(sv.logger), claimer.WithMetrics(sv.metrics))
@@ -70,6 +72,7 @@
 		forwarder.WithSpender(nd.limits.limiter), forwarder.WithClaimer(nd.claimer),
 		forwarder.WithQuarantiner(nd.poison.quarantiner), forwarder.WithBroken(nd.poison.broken),
 		forwarder.WithBounds(bd.BodyBytes, time.Duration(bd.FirstByte)),
+		forwarder.WithUnframed(sv.settings.Upstream.UnframedAnswers == loader.UnframedTake),
 	)
 	return nd
 }
@@ -137,9 +140,10 @@
 		return
 	}
 	nd.pool = connector.NewUpstreamPool(an.Address, connector.WithNetwork(nd.sv.network),
+		connector.WithAnswerCheck(nd.sv.answerCheck), connector.WithIdleTimeout(time.Duration(nd.sv.settings.Upstream.IdleTime)),
 		connector.WithMaxConns(an.Connections), connector.WithLogger(nd.sv.logger), connector.WithMetrics(nd.sv.metrics))
 	nd.pool.Start()
-	nd.forwarder.SetUpstream(an.Address, nd.pool)
+	nd.forwarder.SetUpstream(an.Address, nd.sv.upstreamThrough(an, nd.pool))
 }
 
 // loadFull is an announced load of all slots, in thousandths.
@@ -189,7 +193,9 @@
 func (nd *node) watchTable(tb *registrar.Table) {
 	svcs := map[gypsumhoist.Service]bool{}
 	for _, rw := range tb.Rows() {
-		svcs[rw.Service] = true
+		for _, svc := range rw.Services() {
+			svcs[svc] = true
+		}
 	}
 	if len(svcs) > watchedMax {
 		return
--- a/server/run.go
+++ b/server/run.go
@@ -40,12 +40,13 @@
 	case <-late.C:
 	}
 	sv.take(sv.spreader.Holder().Current())
-	err := sv.listen("callers", sv.settings.Listen.Callers, sv.drainer.Count(sv.node.forwarder.Callers()))
+	err := sv.listen("callers", sv.settings.Listen.Callers, sv.drainer.Count(sv.callersThrough(sv.node.forwarder.Callers())))
 	if err != nil {
 		sv.logger.Log(eventPort, "port", "callers", "err", err)
 		sv.tmb.Kill(err)
 		return false
 	}
+	sv.opened.Store(true)
 	sv.logger.Log(eventReady, "revision", sv.spreader.Holder().Current().Revision())
 	return true
 }
--- a/server/server.go
+++ b/server/server.go
@@ -7,11 +7,13 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"gopkg.in/tomb.v2"
 
+	"github.com/gypsumhoist/gypsumhoist/announcer"
 	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/drainer"
 	"github.com/gypsumhoist/gypsumhoist/gossiper"
@@ -48,6 +50,12 @@
 	node     *node
 	drainer  *drainer.Drainer
 	ports    []*port
+	opened   atomic.Bool
+
+	callersThrough  func(http.Handler) http.Handler
+	peersThrough    func(http.Handler) http.Handler
+	upstreamThrough func(announcer.Announcement, http.RoundTripper) http.RoundTripper
+	answerCheck     func(*http.Request, *http.Response) error
 }
 
 // port is one listening server of the process.
@@ -72,7 +80,11 @@
 
 // New returns a process that has not started. The settings are taken as checked.
 func New(st loader.Settings, opts ...Option) *Server {
-	sv := &Server{settings: st, metrics: metrics.NewSet()}
+	same := func(next http.Handler) http.Handler { return next }
+	sv := &Server{
+		settings: st, metrics: metrics.NewSet(), callersThrough: same, peersThrough: same,
+		upstreamThrough: func(_ announcer.Announcement, next http.RoundTripper) http.RoundTripper { return next },
+	}
 	for _, opt := range opts {
 		opt(sv)
 	}
@@ -135,7 +147,7 @@
 		registrar.WithMetrics(sv.metrics), registrar.WithSelf(sv.source()),
 	}
 	if sv.control != nil {
-		opts = append(opts, registrar.WithProposer(sv.control))
+		opts = append(opts, registrar.WithProposer(sv.control), registrar.WithSheet(sv.control.sheetNow))
 	}
 	sv.spreader = registrar.NewSpreader(opts...)
 	sv.office = registrar.NewOffice(append(opts, registrar.WithSpreader(sv.spreader))...)
@@ -149,7 +161,7 @@
 // open opens the ports and starts what works by itself.
 func (sv *Server) open() error {
 	ls := sv.settings.Listen
-	if err := sv.listen("peers", ls.Peers, sv.peerHandler(), connector.WithPeerTraffic()); err != nil {
+	if err := sv.listen("peers", ls.Peers, sv.peersThrough(sv.peerHandler()), connector.WithPeerTraffic()); err != nil {
 		return err
 	}
 	if err := sv.listen("operator", ls.Operator, sv.operatorHandler()); err != nil {
@@ -189,7 +201,7 @@
 	opts = append(opts,
 		connector.WithLogger(sv.logger), connector.WithMetrics(sv.metrics),
 		connector.WithMaxConns(bd.Connections), connector.WithMaxHeaderBytes(bd.HeaderBytes),
-		connector.WithReadHeaderTimeout(time.Duration(bd.HeaderTime)))
+		connector.WithReadHeaderTimeout(time.Duration(bd.HeaderTime)), connector.WithIdleTimeout(time.Duration(bd.IdleTime)))
 	pt := &port{name: name, server: connector.NewServer(handler, opts...)}
 	sv.ports = append(sv.ports, pt)
 	sv.tmb.Go(func() error { return sv.loop(pt, func() error { return pt.server.Serve(ln) }) })
@@ -213,9 +225,10 @@
 
 // Stop ends the process in a planned way: no request in flight is cut off before the context ends.
 func (sv *Server) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(sv.settings.Stop.Longest))
+	grace, longest := sv.settings.Stop.Times()
+	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
-	err := sv.drainer.Drain(ctx, time.Duration(sv.settings.Stop.Grace), sv.outerPorts()...)
+	err := sv.drainer.Drain(ctx, grace, sv.outerPorts()...)
 	sv.close()
 	return err
 }
--- a/server/settings.go
+++ b/server/settings.go
@@ -58,6 +58,21 @@
 	return out
 }
 
+// founders returns the peer ports of those that found the table's log: the ones named, the seeds, or this instance alone.
+func founders(st loader.Settings) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, fd := range st.Control.Founders {
+		out = append(out, fd.Peer)
+	}
+	if len(out) == 0 && st.Control.SeedsFound {
+		out = append(out, st.Peers.Seeds...)
+	}
+	if len(out) == 0 {
+		out = append(out, st.Listen.Peers)
+	}
+	return out
+}
+
 // source returns this process as the table's spreading knows it.
 func (sv *Server) source() registrar.Source {
 	st := sv.settings
