limiter: standby shares while no keeper of a rate answers

Ruled out: a shorter wait for the voucher alone (10 s to 3 s, kept): a group without a leader refuses all the same.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -31,6 +31,7 @@
 	desks  atomic.Pointer[map[RowKey]*desk]
 	due    *ringer.Ring[*desk]
 	askID  atomic.Uint64
+	nodes  atomic.Int64
 
 	keeper  *keeper
 	started atomic.Bool
--- a/limiter/purse.go
+++ b/limiter/purse.go
@@ -31,6 +31,7 @@
 	// aheadAfter is when tokens may be asked for in advance again.
 	aheadAfter time.Time
 
+	standby   standby
 	use       useMeter
 	maxAhead  int64
 	settle    []Settlement // to be sent, one for each grant
@@ -94,10 +95,17 @@
 
 // Spend takes one token if the purse holds any and no request waits. It doesn't allocate.
 func (ps *Purse) Spend(now time.Time) bool {
-	if len(ps.waiters) > 0 || ps.left == 0 {
+	if len(ps.waiters) > 0 {
 		return false
 	}
-	return ps.spendOne(now)
+	if ps.left > 0 && ps.spendOne(now) {
+		return true
+	}
+	if ps.unready && ps.standby.take(now) {
+		ps.use.add(now)
+		return true
+	}
+	return false
 }
 
 func (ps *Purse) spendOne(now time.Time) bool {
--- a/limiter/purse_ask.go
+++ b/limiter/purse_ask.go
@@ -64,7 +64,7 @@
 		}
 	}
 	ps.ready(now, !gr.Unready)
-	out := ps.serve(now)
+	out := append(ps.serve(now), ps.serveStandby(now)...)
 	if gr.Dry && ps.asked == 0 {
 		ps.aheadAfter = now.Add(batchSpan)
 	}
@@ -91,7 +91,7 @@
 
 // patient reports whether requests may wait for a leader: for a while after it was first missed.
 func (ps *Purse) patient(now time.Time) bool {
-	return ps.unready && now.Sub(ps.unreadySince) < unreadyWait
+	return ps.unready && ps.standby.rate == 0 && now.Sub(ps.unreadySince) < unreadyWait
 }
 
 // Expire returns the requests that have waited for too long, as they come faster than the tokens.
@@ -149,5 +149,5 @@
 	ps.asking = false
 	ps.ready(now, false)
 	ps.dryUntil = now.Add(pause)
-	return ps.refuseAsked(now)
+	return append(ps.serveStandby(now), ps.refuseAsked(now)...)
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -37,6 +37,7 @@
 	Peers      Peers    `toml:"peers"`
 	Control    Control  `toml:"control"`
 	TLS        TLS      `toml:"tls"`
+	Rates      Rates    `toml:"rates"`
 	Upstream   Upstream `toml:"upstream"`
 	Bounds     Bounds   `toml:"bounds"`
 	Stop       Stop     `toml:"stop"`
@@ -81,6 +82,14 @@
 	PlainNetwork bool `toml:"plain_network"`
 }
 
+// Rates says how strictly rates are kept.
+type Rates struct {
+	// Standby lets a node spend its part of a row's rate and burst while no keeper of the rate answers in its
+	// failure domain. The fleet may then exceed the row by the parts of the nodes concerned.
+	// Without it such requests are refused.
+	Standby bool `toml:"standby"`
+}
+
 // Unframed says what becomes of an upstream's answer that has neither length nor chunks.
 type Unframed string
 
--- a/server/limits.go
+++ b/server/limits.go
@@ -23,8 +23,8 @@
 // Times of the work on rates.
 const (
 	limitsBeat     = 500 * time.Millisecond
-	ageBeat        = 5 * time.Second  // between two hand-overs of a table that has not changed
-	confirmSettled = 10 * time.Second // after the start of a control instance, before it vouches for others
+	ageBeat        = 5 * time.Second // between two hand-overs of a table that has not changed
+	confirmSettled = 3 * time.Second // after the start of a control instance, before it vouches for others
 )
 
 // limits joins the limiter of a node to the table and the shard groups.
@@ -34,6 +34,8 @@
 	limiter *limiter.Limiter
 	last    limiter.Table
 	lastAt  time.Time
+	nodes   atomic.Int64
+	counted int64 // nodes at the last hand-over
 }
 
 func newLimits(sv *Server, sd *shards) *limits {
@@ -50,6 +52,21 @@
 	lt.sv.tmb.Go(lt.loop)
 }
 
+// look counts the nodes, those that can't be reached too, as they may go on spending.
+func (lt *limits) look(vw *gossiper.View) {
+	if !lt.sv.settings.Rates.Standby {
+		return
+	}
+	count := 0
+	for _, mb := range vw.Members() {
+		if mb.Roles.Has(gossiper.RoleNode) && mb.Status != gossiper.StatusLeft {
+			count++
+		}
+	}
+	lt.nodes.Store(int64(count))
+	lt.limiter.SetNodes(count)
+}
+
 // loop hands the limiter the table, how old it is and how far it is in force.
 func (lt *limits) loop() error {
 	tk := time.NewTicker(limitsBeat)
@@ -69,12 +86,14 @@
 
 // give hands over the table when it or its confirmation is new, and its age from time to time.
 func (lt *limits) give(holder *registrar.Holder, now time.Time) {
-	same := holder.Current().Revision() == lt.last.Revision && lt.sv.confirmed() == lt.last.Confirmed
+	same := holder.Current().Revision() == lt.last.Revision && lt.sv.confirmed() == lt.last.Confirmed &&
+		lt.nodes.Load() == lt.counted
 	if same && now.Sub(lt.lastAt) < ageBeat {
 		return
 	}
 	lt.last = lt.table(holder, now)
 	lt.lastAt = now
+	lt.counted = lt.nodes.Load()
 	lt.limiter.SetTable(lt.last)
 }
 
--- a/server/node.go
+++ b/server/node.go
@@ -217,6 +217,7 @@
 	nd.mu.Unlock()
 	nd.poison.look(vw.ByService(own))
 	nd.shards.look(vw)
+	nd.limits.look(vw)
 	for _, svc := range svcs {
 		nd.router.SetUpstreams(svc, upstreams(vw.ByService(svc)))
 	}
