clocker: a clock that goes on while the machine is suspended

Change: leases, elections and ages of the table count by the runtime's clock plus all suspensions, told by two clocks of the kernel.

--- a/registrar/holder.go
+++ b/registrar/holder.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/gypsumhoist/gypsumhoist/clocker"
 )
 
 // AgeUnknown is the age of a table that nobody has confirmed yet.
@@ -36,7 +38,7 @@
 	if at == nil {
 		return AgeUnknown
 	}
-	return max(time.Since(*at), 0)
+	return max(clocker.Since(*at), 0)
 }
 
 // Changed returns a channel that is closed when the next table comes into force.
--- a/registrar/puller.go
+++ b/registrar/puller.go
@@ -9,6 +9,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
 )
 
@@ -61,7 +62,7 @@
 		return false
 	}
 	confirmed := pl.sp.startedAt.Add(time.Duration(pl.sp.ownConfirmed.Load()))
-	return time.Since(confirmed) < staleAfter
+	return clocker.Since(confirmed) < staleAfter
 }
 
 // start asks several sources at once, so that the first table in force is the highest of theirs.
@@ -199,7 +200,7 @@
 		rq.AgeUs = &us
 	}
 	sp.counts.pulls.Inc()
-	asked := time.Now()
+	asked := clocker.Now()
 	rs, err := registrarpb.NewSpreadClient(sp.peers, sp.peers.URL(sc.Peer), connect.WithReadMaxBytes(messageMax)).
 		Pull(ctx, connect.NewRequest(rq))
 	if err != nil {
@@ -217,9 +218,9 @@
 	// The answer left after it was held, and the age was taken after that.
 	held := time.Duration(rs.Msg.GetHeldUs()) * time.Microsecond
 	age := time.Duration(rs.Msg.GetAgeUs()) * time.Microsecond
-	asOf := asked.Add(min(held, time.Since(asked)) - age)
+	asOf := asked.Add(min(held, clocker.Since(asked)) - age)
 	sp.holder.Confirm(rs.Msg.GetRevision(), asOf)
-	return time.Since(asOf), nil
+	return clocker.Since(asOf), nil
 }
 
 // take puts a delta into force. One that no longer fits, as another source was faster, is passed over.
--- a/registrar/spread_server.go
+++ b/registrar/spread_server.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
 )
 
@@ -27,14 +28,14 @@
 func (sv spreadServer) Pull(
 	ctx context.Context, rq *connect.Request[registrarpb.PullRequest],
 ) (*connect.Response[registrarpb.PullAnswer], error) {
-	began := time.Now()
+	began := clocker.Now()
 	hold := min(time.Duration(rq.Msg.GetHoldMs())*time.Millisecond, holdLongest)
 	if hold > 0 && sv.sp.enterHold() {
 		sv.sp.waitForNews(ctx, rq.Msg, began, hold)
 		sv.sp.leaveHold()
 	}
 	// The order matters: what was held is counted before the age, and the age is taken before the table.
-	held := time.Since(began)
+	held := clocker.Since(began)
 	age := sv.sp.holder.Age()
 	tb := sv.sp.holder.Current()
 	answer := &registrarpb.PullAnswer{
@@ -98,7 +99,7 @@
 	if rq.AgeUs == nil {
 		return true
 	}
-	askerAge := time.Duration(rq.GetAgeUs())*time.Microsecond + time.Since(began)
+	askerAge := time.Duration(rq.GetAgeUs())*time.Microsecond + clocker.Since(began)
 	return askerAge-age >= refreshStep
 }
 
--- a/registrar/spreader.go
+++ b/registrar/spreader.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"gopkg.in/tomb.v2"
 
+	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
@@ -94,7 +95,7 @@
 // Start begins to pull, to confirm and to report.
 func (sp *Spreader) Start() {
 	sp.started = true
-	sp.startedAt = time.Now()
+	sp.startedAt = clocker.Now()
 	pl := newPuller(sp)
 	sp.tm.Go(sp.loop)
 	if sp.peers != nil {
@@ -209,7 +210,7 @@
 	tick := time.NewTicker(barrierEvery)
 	defer tick.Stop()
 	for {
-		asked := time.Now()
+		asked := clocker.Now()
 		ctx, cancel := context.WithTimeout(sp.tm.Context(context.Background()), CutOffLease)
 		err := sp.barrier(ctx)
 		cancel()
--- a/replicator/group.go
+++ b/replicator/group.go
@@ -9,6 +9,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/ringer"
 )
 
@@ -60,8 +61,8 @@
 	}
 	gp.applied, gp.snapshot, gp.size = sd.Snapshot.Index, sd.Snapshot.Index, len(sd.Snapshot.Data)
 	rnd := rand.New(rand.NewPCG(gp.seed, gp.seed))
-	gp.core = NewCore(gp.self, gp.timings, sd, time.Now(), rnd)
-	gp.publish(time.Now())
+	gp.core = NewCore(gp.self, gp.timings, sd, clocker.Now(), rnd)
+	gp.publish(clocker.Now())
 	gp.tb.Go(gp.run)
 	return nil
 }
@@ -132,7 +133,7 @@
 // epoch, and since when. The epoch grows with each new holder. It takes no lock.
 func (gp *Group) Lease() (epoch uint64, since time.Time, held bool) {
 	ls := gp.lease.Load()
-	return ls.Epoch, ls.Since, ls.Held && time.Now().Before(ls.Until)
+	return ls.Epoch, ls.Since, ls.Held && clocker.Now().Before(ls.Until)
 }
 
 // Leader returns the member that this one takes as leader; the second result is false for none.
@@ -156,7 +157,7 @@
 	for !gp.submit(cl) {
 		select {
 		case <-gp.tb.Dead():
-			return gp.core.Status(time.Now())
+			return gp.core.Status(clocker.Now())
 		case <-time.After(statusRetry):
 		}
 	}
@@ -164,7 +165,7 @@
 	case rs := <-cl.done:
 		return rs.status
 	case <-gp.tb.Dead():
-		return gp.core.Status(time.Now())
+		return gp.core.Status(clocker.Now())
 	}
 }
 
--- a/replicator/group_run.go
+++ b/replicator/group_run.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/gypsumhoist/gypsumhoist/clocker"
 )
 
 // run is the group's goroutine.
@@ -15,10 +17,10 @@
 		select {
 		case <-dying:
 			dying = nil
-			if !gp.core.Transfer(time.Now()) {
+			if !gp.core.Transfer(clocker.Now()) {
 				return nil
 			}
-			stopAt = time.Now().Add(gp.timings.ElectionMin)
+			stopAt = clocker.Now().Add(gp.timings.ElectionMin)
 		case <-gp.ring.Ready():
 		case <-timer.C:
 		}
@@ -26,7 +28,7 @@
 			gp.host.lg.Log(eventJournalFailed, "group", gp.name, "error", err)
 			return err
 		}
-		now := time.Now()
+		now := clocker.Now()
 		if dying == nil && (gp.core.Role() != RoleLeader || !now.Before(stopAt)) {
 			return nil
 		}
@@ -48,7 +50,7 @@
 // turn takes in all that waits and acts on it.
 func (gp *Group) turn() error {
 	for {
-		now := time.Now()
+		now := clocker.Now()
 		more := gp.drain(now)
 		if !now.Before(gp.core.Deadline()) {
 			gp.core.Tick(now)
