allocator: rates by windows, leased to nodes by their demand

Ruled out: longer lives of batches (a share of six tokens allows one and a half out); shares of tokens for each node without a keeper (at 5 requests a second and node they refuse a third of what is within the rate). Change: a setting rates.window has rates kept by windows: each domain owns a part, a keeper chosen by name leases it to the nodes by demand, domains borrow, whoever hears no keeper keeps to an equal part. Claims, and with them shard groups, can be switched off.

--- /dev/null
+++ b/allocator/allocator.go
@@ -0,0 +1,413 @@
+package allocator
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gopkg.in/tomb.v2"
+
+	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/clocker"
+	"github.com/gypsumhoist/gypsumhoist/connector"
+	"github.com/gypsumhoist/gypsumhoist/logger"
+	"github.com/gypsumhoist/gypsumhoist/registrar"
+)
+
+// Times of an Allocator.
+const (
+	reportEvery  = 500 * time.Millisecond
+	urgentPause  = 8 * time.Millisecond // between two reports that a request asked for
+	reportTime   = 300 * time.Millisecond
+	askWait      = 35 * time.Millisecond // for which a request waits for its node's lease of a row
+	avoidFor     = 2 * time.Second       // a keeper that did not answer
+	forgetAfter  = time.Minute           // a row without requests
+	retryLeast   = 100 * time.Millisecond
+	retryMost    = time.Second
+	retryPart    = 10 // of the window, for a row asked for as often as it allows
+	pressureHigh = 10.0
+)
+
+var (
+	eventKeeper = logger.Define(1750, logger.LevelInfo, "rate_keeper_chosen",
+		"The node of the failure domain that shares out rates and bursts is another one now.")
+	eventKeeperLost = logger.Define(1751, logger.LevelWarn, "rate_keeper_silent",
+		"The node that shares out rates gave no answer; the next one is asked, and without any this node keeps to its equal part.")
+	eventStandby = logger.Define(1752, logger.LevelWarn, "rate_standby_began",
+		"No keeper of rates answers; this node keeps to an equal part of each rate and burst until one does.")
+	eventLeased = logger.Define(1753, logger.LevelInfo, "rate_standby_ended", "A keeper of rates answers again.")
+)
+
+// Member is a node as gossip knows it.
+type Member struct {
+	Instance gypsumhoist.Instance
+	Domain   gypsumhoist.FailureDomain
+	Peer     netip.AddrPort
+	// Alive is false for one that may be dead or cut off, or that is leaving.
+	Alive bool
+}
+
+// Allocator decides which requests of a row may start at this node, and shares out rows while the node is its domain's
+// keeper. It is safe for concurrent use. The zero value is not usable; call New.
+type Allocator struct {
+	tmb     tomb.Tomb
+	self    gypsumhoist.Instance
+	domain  gypsumhoist.FailureDomain
+	span    time.Duration
+	peers   connector.Peers
+	log     *logger.Logger
+	started time.Time
+	running atomic.Bool
+	urgent  chan struct{}
+	needy   chan struct{} // the domain lacks allowance
+	meters  atomic.Pointer[map[Key]*meter]
+	nodes   atomic.Int64
+	// answered is when, since started, the last report was sent that was answered.
+	answered atomic.Int64
+	taken    *metrics.Counter
+	refused  *metrics.Counter
+
+	mu      sync.Mutex
+	keeper  *Keeper
+	members []Member
+	limits  map[Key]int64
+	avoid   map[gypsumhoist.Instance]time.Time
+	last    gypsumhoist.Instance
+	news    chan struct{} // closed when leases have come
+	// borrowAfter is when the domain may borrow again as a request found no room.
+	borrowAfter time.Time
+	// gained is when another domain last lent anything.
+	gained time.Time
+}
+
+// Option sets one part of an Allocator.
+type Option func(*Allocator)
+
+// WithPeers sets the way to other nodes; without it the node keeps to its equal part.
+func WithPeers(pr connector.Peers) Option { return func(al *Allocator) { al.peers = pr } }
+
+// WithLogger writes log events; nil writes none.
+func WithLogger(lg *logger.Logger) Option { return func(al *Allocator) { al.log = lg } }
+
+// WithMetrics counts on a set; nil counts nowhere.
+func WithMetrics(set *metrics.Set) Option {
+	return func(al *Allocator) {
+		if set != nil {
+			al.taken = set.GetOrCreateCounter("gypsumhoist_allocator_taken_total")
+			al.refused = set.GetOrCreateCounter("gypsumhoist_allocator_refused_total")
+		}
+	}
+}
+
+// New returns an allocator of a node that counts by windows of a span. It knows no row and no other node.
+func New(self gypsumhoist.Instance, domain gypsumhoist.FailureDomain, span time.Duration, opts ...Option) *Allocator {
+	started := clocker.Now()
+	al := &Allocator{
+		self: self, domain: domain, span: span, started: started, urgent: make(chan struct{}, 1), needy: make(chan struct{}, 1),
+		keeper: NewKeeper(domain, span, started), limits: map[Key]int64{}, avoid: map[gypsumhoist.Instance]time.Time{},
+		news: make(chan struct{}), taken: &metrics.Counter{}, refused: &metrics.Counter{},
+	}
+	al.meters.Store(&map[Key]*meter{})
+	al.nodes.Store(1)
+	for _, opt := range opts {
+		opt(al)
+	}
+	return al
+}
+
+// Start begins to report.
+func (al *Allocator) Start() {
+	al.running.Store(true)
+	al.tmb.Go(al.run)
+}
+
+// Stop ends what Start began. Without Start it does nothing.
+func (al *Allocator) Stop() {
+	if !al.running.Load() {
+		return
+	}
+	al.tmb.Kill(nil)
+	// The loop has no error of its own.
+	_ = al.tmb.Wait()
+}
+
+// SetRows takes the rows that bound anything. Others are forgotten.
+func (al *Allocator) SetRows(rows []*registrar.Row) {
+	limits := make(map[Key]int64, len(rows))
+	for _, rw := range rows {
+		limits[KeyOf(rw)] = limitOf(rw, al.span)
+	}
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	al.limits = limits
+	al.keeper.SetLimits(limits)
+}
+
+// SetMembers takes all nodes that have not left, this one too.
+func (al *Allocator) SetMembers(members []Member) {
+	var own []gypsumhoist.Instance
+	for _, mb := range members {
+		if mb.Domain == al.domain {
+			own = append(own, mb.Instance)
+		}
+	}
+	al.nodes.Store(int64(max(len(members), 1)))
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	al.members = slices.Clone(members)
+	al.keeper.SetMembers(own, len(members))
+}
+
+// KeyOf returns the name of a row.
+func KeyOf(rw *registrar.Row) Key { return Key{Workspace: rw.Workspace, Route: rw.Route} }
+
+// limitOf returns how many requests of a row the fleet may start in a window.
+func limitOf(rw *registrar.Row, span time.Duration) int64 {
+	return int64(float64(rw.Rate)/float64(registrar.RateOne)*span.Seconds()) + rw.Burst
+}
+
+// Spend takes a request of a row in, or returns a *gypsumhoist.Refusal that says when to come back.
+// It waits for an answer of the keeper for some milliseconds when the node's allowance is used up.
+func (al *Allocator) Spend(ctx context.Context, rw *registrar.Row, _ gypsumhoist.Importance) error {
+	mt := al.meter(KeyOf(rw))
+	news := al.newsNow()
+	vd := mt.spend(al.grounds(rw))
+	if vd == verdictLow {
+		al.hurry()
+	}
+	if vd <= verdictLow || vd == verdictAsk && al.inTouch(al.now()) && al.wait(ctx, mt, rw, news) {
+		al.taken.Inc()
+		return nil
+	}
+	al.refused.Inc()
+	return gypsumhoist.NotRun(gypsumhoist.ReasonRate, al.retryAfter(mt.pressure(al.grounds(rw))),
+		"the workspace has spent the row's rate and burst")
+}
+
+// wait tries again each time the keeper has answered: the first answer may be to a report that did not count the request
+// yet, and the next one may come before the domain has borrowed.
+func (al *Allocator) wait(ctx context.Context, mt *meter, rw *registrar.Row, news <-chan struct{}) bool {
+	mt.ask(1)
+	defer mt.ask(-1)
+	late := time.NewTimer(askWait)
+	defer late.Stop()
+	for {
+		al.hurry()
+		select {
+		case <-news:
+		case <-late.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+		news = al.newsNow()
+		if mt.again(al.grounds(rw)) {
+			return true
+		}
+	}
+}
+
+// retryAfter spreads refused callers, the farther the more the row is asked for beyond what it allows.
+func (al *Allocator) retryAfter(pressure float64) time.Duration {
+	wait := time.Duration(float64(al.span) / retryPart * min(max(pressure-1, 0), pressureHigh))
+	wait = min(max(wait, retryLeast), retryMost)
+	return wait/2 + rand.N(wait)
+}
+
+func (al *Allocator) grounds(rw *registrar.Row) grounds {
+	now := al.now()
+	return grounds{now: now, span: al.span, limit: limitOf(rw, al.span), nodes: al.nodes.Load(), inTouch: al.inTouch(now)}
+}
+
+// now returns the time since the start, the suspensions of the machine included.
+func (al *Allocator) now() time.Duration { return clocker.Since(al.started) }
+
+func (al *Allocator) inTouch(now time.Duration) bool {
+	at := al.answered.Load()
+	return at > 0 && now-time.Duration(at) < leaseLife
+}
+
+func (al *Allocator) meter(ky Key) *meter {
+	if mt := (*al.meters.Load())[ky]; mt != nil {
+		return mt
+	}
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	old := *al.meters.Load()
+	if mt := old[ky]; mt != nil {
+		return mt
+	}
+	next := maps.Clone(old)
+	next[ky] = &meter{}
+	al.meters.Store(&next)
+	return next[ky]
+}
+
+func (al *Allocator) newsNow() <-chan struct{} {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	return al.news
+}
+
+// hurry has the loop report soon.
+func (al *Allocator) hurry() { nudge(al.urgent) }
+
+func nudge(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// run reports to the keeper from time to time, and soon when a request lacks allowance.
+func (al *Allocator) run() error {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-al.tmb.Dying():
+			return nil
+		case <-tick.C:
+			al.forget()
+			al.borrow()
+		case <-al.needy:
+			al.borrow()
+		case <-al.urgent:
+		}
+		al.report()
+		select {
+		case <-al.tmb.Dying():
+			return nil
+		case <-time.After(urgentPause):
+		}
+	}
+}
+
+// report asks the first keeper that answers for leases.
+func (al *Allocator) report() {
+	asked := al.now()
+	lines := al.lines(asked)
+	before := al.inTouch(asked)
+	for _, mb := range al.candidates() {
+		allowances, err := al.reportTo(mb, lines)
+		if err != nil {
+			al.shun(mb.Instance, err)
+			continue
+		}
+		al.chose(mb.Instance)
+		al.take(asked, allowances)
+		if !before {
+			al.log.Log(eventLeased, "keeper", mb.Instance)
+		}
+		return
+	}
+	if before && !al.inTouch(al.now()) {
+		al.log.Log(eventStandby, "nodes", al.nodes.Load())
+	}
+}
+
+func (al *Allocator) lines(now time.Duration) []Line {
+	var out []Line
+	for ky, mt := range *al.meters.Load() {
+		if ln, active := mt.line(now, al.span); active {
+			ln.Key = ky
+			out = append(out, ln)
+		}
+	}
+	slices.SortFunc(out, func(la, lb Line) int { return compareKeys(la.Key, lb.Key) })
+	return out
+}
+
+func compareKeys(ka, kb Key) int {
+	return cmp.Or(cmp.Compare(ka.Workspace, kb.Workspace), cmp.Compare(ka.Route, kb.Route))
+}
+
+// take puts leases into the meters and wakes the requests that wait for them.
+func (al *Allocator) take(asked time.Duration, allowances []Allowance) {
+	meters := *al.meters.Load()
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	for _, aw := range allowances {
+		if mt := meters[aw.Key]; mt != nil {
+			mt.lease(aw, al.limits[aw.Key], asked, al.span)
+		}
+	}
+	al.answered.Store(int64(max(asked, 1)))
+	close(al.news)
+	al.news = make(chan struct{})
+}
+
+// candidates returns the nodes of the domain that may be its keeper, the one to ask first before the others.
+func (al *Allocator) candidates() []Member {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	return al.keepers(al.domain, candidatesMost)
+}
+
+// candidatesMost is how many nodes are asked, one after the other, when the first does not answer.
+const candidatesMost = 2
+
+// keepers returns the first nodes of a domain in the order in which they are its keeper. The lock is held.
+func (al *Allocator) keepers(domain gypsumhoist.FailureDomain, most int) []Member {
+	now := time.Now()
+	var out []Member
+	for _, mb := range al.members {
+		if mb.Domain == domain && mb.Alive && !now.Before(al.avoid[mb.Instance]) {
+			out = append(out, mb)
+		}
+	}
+	slices.SortFunc(out, func(ma, mb Member) int {
+		return cmp.Or(cmp.Compare(rank(ma.Instance), rank(mb.Instance)), cmp.Compare(ma.Instance, mb.Instance))
+	})
+	return out[:min(len(out), most)]
+}
+
+func rank(in gypsumhoist.Instance) uint64 {
+	hs := fnv.New64a()
+	// A hash never fails.
+	_, _ = hs.Write([]byte(in))
+	return hs.Sum64() * 0x9e3779b97f4a7c15
+}
+
+// shun leaves a keeper out for a while.
+func (al *Allocator) shun(in gypsumhoist.Instance, err error) {
+	al.log.Log(eventKeeperLost, "keeper", in, "err", err)
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	al.avoid[in] = time.Now().Add(avoidFor)
+}
+
+func (al *Allocator) chose(in gypsumhoist.Instance) {
+	al.mu.Lock()
+	changed := al.last != in
+	al.last = in
+	al.mu.Unlock()
+	if changed {
+		al.log.Log(eventKeeper, "keeper", in)
+	}
+}
+
+// forget drops meters that count nothing any more.
+func (al *Allocator) forget() {
+	now := al.now()
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	old := *al.meters.Load()
+	next := maps.Clone(old)
+	maps.DeleteFunc(next, func(_ Key, mt *meter) bool {
+		mt.mu.Lock()
+		defer mt.mu.Unlock()
+		return now-mt.seen > forgetAfter
+	})
+	if len(next) != len(old) {
+		al.meters.Store(&next)
+	}
+}
--- /dev/null
+++ b/allocator/fleet_test.go
@@ -0,0 +1,209 @@
+package allocator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/allocator"
+	"github.com/gypsumhoist/gypsumhoist/registrar"
+)
+
+// span is the window of all tests.
+const span = 5 * time.Second
+
+// fleet is a few allocators joined in memory.
+type fleet struct {
+	mu      sync.Mutex
+	members []*member
+	cut     map[gypsumhoist.FailureDomain]bool // cut off from all others
+	started []time.Time                        // requests that were taken in, in order
+}
+
+type member struct {
+	fl   *fleet
+	self allocator.Member
+	al   *allocator.Allocator
+	h    http.Handler
+	down bool
+}
+
+var errCut = errors.New("the link is cut")
+
+func newFleet(domains, nodes int) *fleet {
+	fl := &fleet{cut: map[gypsumhoist.FailureDomain]bool{}}
+	for dm := range domains {
+		for at := range nodes {
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(dm), byte(at)}), 80)
+			mb := &member{fl: fl, self: allocator.Member{
+				Instance: gypsumhoist.Instance(addr.String()), Domain: gypsumhoist.FailureDomain(fmt.Sprintf("d%d", dm)),
+				Peer: addr, Alive: true,
+			}}
+			mb.begin()
+			fl.members = append(fl.members, mb)
+		}
+	}
+	fl.look()
+	return fl
+}
+
+// begin starts a new process of the member.
+func (mb *member) begin() {
+	mb.al = allocator.New(mb.self.Instance, mb.self.Domain, span, allocator.WithPeers(mb), allocator.WithMetrics(metrics.NewSet()))
+	path, h := mb.al.Handler()
+	mux := http.NewServeMux()
+	mux.Handle(path, h)
+	mb.h = mux
+	mb.al.Start()
+}
+
+// look tells all members who is there.
+func (fl *fleet) look() {
+	var list []allocator.Member
+	for _, mb := range fl.members {
+		list = append(list, mb.self)
+	}
+	for _, mb := range fl.members {
+		mb.al.SetMembers(list)
+	}
+}
+
+func (fl *fleet) setRows(rows ...*registrar.Row) {
+	for _, mb := range fl.members {
+		mb.al.SetRows(rows)
+	}
+}
+
+func (fl *fleet) stop() {
+	for _, mb := range fl.members {
+		mb.al.Stop()
+	}
+}
+
+// restart ends all processes at once and begins new ones.
+func (fl *fleet) restart(rows ...*registrar.Row) {
+	fl.stop()
+	for _, mb := range fl.members {
+		mb.begin()
+	}
+	fl.look()
+	fl.setRows(rows...)
+}
+
+// URL implements connector.Peers.
+func (mb *member) URL(addr netip.AddrPort) string { return "http://" + addr.String() }
+
+// Do implements connector.Peers by a call of the other member's handler.
+func (mb *member) Do(rq *http.Request) (*http.Response, error) {
+	to := mb.fl.find(rq.URL.Host)
+	delay := time.Millisecond
+	if to.self.Domain == mb.self.Domain {
+		delay /= 5
+	}
+	time.Sleep(delay)
+	if mb.fl.unreachable(mb, to) {
+		<-rq.Context().Done()
+		return nil, errCut
+	}
+	rec := httptest.NewRecorder()
+	in := rq.Clone(rq.Context())
+	in.RequestURI = rq.URL.RequestURI()
+	to.h.ServeHTTP(rec, in)
+	time.Sleep(delay)
+	if mb.fl.unreachable(mb, to) {
+		<-rq.Context().Done()
+		return nil, errCut
+	}
+	rs := rec.Result()
+	rs.Body = io.NopCloser(rec.Body)
+	return rs, nil
+}
+
+func (fl *fleet) find(host string) *member {
+	for _, mb := range fl.members {
+		if mb.self.Peer.String() == host {
+			return mb
+		}
+	}
+	panic("nobody is at " + host)
+}
+
+func (fl *fleet) unreachable(ma, mb *member) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return ma.down || mb.down || ma.self.Domain != mb.self.Domain && (fl.cut[ma.self.Domain] || fl.cut[mb.self.Domain])
+}
+
+func (fl *fleet) setCut(dm gypsumhoist.FailureDomain, on bool) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.cut[dm] = on
+}
+
+// load sends requests of a row for a time, at random moments of a mean rate, to a member that pick chooses,
+// and returns how many were asked for, how many of them were refused, and how many one counter for the whole fleet would
+// have refused.
+func (fl *fleet) load(
+	seed uint64, row *registrar.Row, perS float64, lasts time.Duration, pick func(*rand.Rand) *member,
+) (asked, refused, unavoidable int) {
+	var taken []time.Time
+	rnd := rand.New(rand.NewPCG(seed, seed))
+	end := time.Now().Add(lasts)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for {
+		time.Sleep(time.Duration(rnd.ExpFloat64() / perS * float64(time.Second)))
+		if !time.Now().Before(end) {
+			break
+		}
+		mb := pick(rnd)
+		asked++
+		for len(taken) > 0 && time.Since(taken[0]) >= span {
+			taken = taken[1:]
+		}
+		if len(taken) < limit(row) {
+			taken = append(taken, time.Now())
+		} else {
+			unavoidable++
+		}
+		wg.Go(func() {
+			err := mb.al.Spend(context.Background(), row, 50)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				refused++
+				return
+			}
+			fl.mu.Lock()
+			fl.started = append(fl.started, time.Now())
+			fl.mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return asked, refused, unavoidable
+}
+
+// anyone picks any member.
+func (fl *fleet) anyone(rnd *rand.Rand) *member { return fl.members[rnd.IntN(len(fl.members))] }
+
+// busiest returns the most requests that were taken in within one window.
+func (fl *fleet) busiest() int {
+	most, from := 0, 0
+	for to, at := range fl.started {
+		for at.Sub(fl.started[from]) >= span {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -76,6 +76,7 @@
 	meters     meters
 	deeper     deeper
 	splitter   splitter
+	identify   func(*http.Request) gypsumhoist.RequestID
 	unframed   bool
 }
 
@@ -152,6 +153,19 @@
 // in order; one that is reset is cut short. Otherwise such answers are refused.
 func WithUnframed(take bool) Option { return func(fw *Forwarder) { fw.unframed = take } }
 
+// WithIdentity names each request by a function, for callers that give each of their requests a name of its own;
+// one without a name gets a new one.
+func WithIdentity(identify func(*http.Request) gypsumhoist.RequestID) Option {
+	return func(fw *Forwarder) {
+		fw.identify = func(req *http.Request) gypsumhoist.RequestID {
+			if id := identify(req); id != "" {
+				return id
+			}
+			return newRequestID()
+		}
+	}
+}
+
 // WithBounds sets the longest body in bytes and the longest time to the first byte of an answer.
 // Values of zero or less keep the defaults.
 func WithBounds(bodyBytes int64, firstByte time.Duration) Option {
@@ -172,6 +186,7 @@
 		bodyBytes: DefaultBodyBytes,
 		firstByte: DefaultFirstByte,
 		broken:    func(context.Context) {},
+		identify:  func(*http.Request) gypsumhoist.RequestID { return newRequestID() },
 	}
 	for _, opt := range opts {
 		opt(fw)
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -109,7 +109,7 @@
 		rn.brokeOff()
 	}
 	rn.record.Status = rn.rs.StatusCode
-	rn.fw.book.Add(rn.record)
+	rn.fw.keep(rn.record)
 	return rn.budget.Left()
 }
 
@@ -143,7 +143,7 @@
 	rn.record.Note("forwarder", string(rf.Reason), rf.Detail)
 	rn.record.Verdict = rf.Verdict.String()
 	rn.record.Reason = rf.Reason
-	fw.book.Add(rn.record)
+	fw.keep(rn.record)
 	return nil, rf
 }
 
--- /dev/null
+++ b/forwarder/logging.go
@@ -0,0 +1,58 @@
+package forwarder
+
+import (
+	"strings"
+
+	"github.com/gypsumhoist/gypsumhoist/explainer"
+	"github.com/gypsumhoist/gypsumhoist/logger"
+	"github.com/gypsumhoist/gypsumhoist/registrar"
+)
+
+var (
+	eventAnswered = logger.Define(1210, logger.LevelInfo, "request_answered",
+		"A request got the answer of an upstream; steps tell of attempts that failed before.")
+	eventTurnedAway = logger.Define(1211, logger.LevelInfo, "request_refused",
+		"A request got no answer of an upstream; verdict, reason and steps say why.")
+)
+
+// keep ends a request's record: in the book, and in the log.
+func (fw *Forwarder) keep(rc *explainer.Record) {
+	fw.book.Add(rc)
+	if fw.logger == nil {
+		return
+	}
+	ev := eventAnswered
+	if rc.Reason != "" {
+		ev = eventTurnedAway
+	}
+	fw.logger.Log(ev, "request", rc.Request, "hop", rc.Hop, "workspace", rc.Workspace, "route", rc.Route,
+		"service", rc.Service, "importance", rc.Importance, "row", rc.Row, "revision", rc.Revision, "table_age", fw.tableAge(rc),
+		"status", rc.Status, "verdict", rc.Verdict, "reason", rc.Reason, "took", rc.Took, "steps", stepsText(rc))
+}
+
+// tableAge returns the age of the table, which is looked at only for requests that were refused.
+func (fw *Forwarder) tableAge(rc *explainer.Record) any {
+	if rc.Reason == "" || fw.holder == nil {
+		return ""
+	}
+	age := fw.holder.Age()
+	if age == registrar.AgeUnknown {
+		return "unknown"
+	}
+	return age
+}
+
+// stepsText returns the steps of a record in one line.
+func stepsText(rc *explainer.Record) string {
+	var sb strings.Builder
+	for at, st := range rc.Steps {
+		if at > 0 {
+			sb.WriteString("; ")
+		}
+		sb.WriteString(st.Duty + " " + st.What)
+		if st.Detail != "" {
+			sb.WriteString(" " + st.Detail)
+		}
+	}
+	return sb.String()
+}
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -31,22 +31,20 @@
 	})
 }
 
-// prefetch takes in an answer of known small length whole.
+// prefetch takes in a short answer whole, so that what happens to its end can't spoil its beginning:
+// one of known small length, and one of unknown length that ends with its connection or tells of a failure.
 func (rp *reply) prefetch() *gypsumhoist.Refusal {
 	size := rp.rs.ContentLength
-	if unframed(rp.rs) {
-		return rp.takeUnframed()
+	if size > prefetchBytes || rp.rs.Body == http.NoBody || rp.rs.Request != nil && rp.rs.Request.Method == http.MethodHead {
+		return nil
+	}
+	if size >= 0 {
+		_, _, rf := rp.takeIn(size)
+		return rf
 	}
-	if size <= 0 || size > prefetchBytes || rp.rs.Request != nil && rp.rs.Request.Method == http.MethodHead {
+	if !unframed(rp.rs) && rp.rs.StatusCode < http.StatusBadRequest {
 		return nil
 	}
-	_, _, rf := rp.takeIn(size)
-	return rf
-}
-
-// takeUnframed takes in an answer that ends with its connection, as far as a node keeps answers;
-// one that is whole by then gets a length.
-func (rp *reply) takeUnframed() *gypsumhoist.Refusal {
 	ahead, whole, rf := rp.takeIn(prefetchBytes)
 	if rf == nil && whole {
 		rp.rs.ContentLength = int64(len(ahead))
@@ -64,9 +62,14 @@
 		rp.end(err)
 		return nil, false, cutShort(err)
 	}
-	rest := rp.rs.Body
-	rp.rs.Body = &stream{Reader: io.MultiReader(bytes.NewReader(ahead.Bytes()), rest), Closer: rest}
-	return ahead.Bytes(), int64(ahead.Len()) <= size, nil
+	rest, whole := rp.rs.Body, int64(ahead.Len()) <= size
+	var all io.Reader = bytes.NewReader(ahead.Bytes())
+	if !whole {
+		all = io.MultiReader(all, rest)
+	}
+	// What is whole is not read again: its end is known, and asking again may fail once the deadline has passed.
+	rp.rs.Body = &stream{Reader: all, Closer: rest}
+	return ahead.Bytes(), whole, nil
 }
 
 // cutShort is the refusal of a request whose answer began and broke off.
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -24,7 +24,7 @@
 
 // serve takes one request from its arrival to the end of its answer.
 func (fw *Forwarder) serve(wr http.ResponseWriter, req *http.Request, enter func(*http.Request, *call) *gypsumhoist.Refusal) {
-	cl := &call{id: newRequestID(), started: time.Now()}
+	cl := &call{id: fw.identify(req), started: time.Now()}
 	cl.record = &explainer.Record{Request: cl.id, Instance: fw.instance, Started: cl.started, Method: req.Method}
 	req.Body = http.MaxBytesReader(wr, req.Body, fw.bodyBytes)
 	rf := enter(req, cl)
@@ -131,7 +131,7 @@
 
 // finish ends the bookkeeping of a request.
 func (fw *Forwarder) finish(cl *call, whole bool) {
-	fw.book.Add(cl.record)
+	fw.keep(cl.record)
 	if fw.observe == nil || cl.nested || cl.row == nil {
 		return
 	}
--- a/loader/check.go
+++ b/loader/check.go
@@ -52,6 +52,7 @@
 	ck.tls(st)
 	ck.bounds(st.Bounds)
 	ck.upstream(st.Upstream)
+	ck.rates(st)
 	ck.span("stop.killed_after", st.Stop.KilledAfter, 0, timeMax)
 	ck.span("stop.grace", st.Stop.Grace, 0, timeMax)
 	ck.span("stop.longest", st.Stop.Longest, 0, timeMax)
@@ -134,6 +135,13 @@
 	}
 }
 
+func (ck *checker) rates(st Settings) {
+	ck.span("rates.window", st.Rates.Window, 0, timeMax)
+	if st.Claims.Off && st.Rates.Window == 0 {
+		ck.fault("claims.off", true, "false unless rates.window is set, as rates are kept by the keepers of claims otherwise")
+	}
+}
+
 func (ck *checker) upstream(us Upstream) {
 	ck.span("upstream.lapse", us.Lapse, time.Second, timeMax)
 	ck.span("upstream.idle_time", us.IdleTime, 100*time.Millisecond, timeMax)
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -38,6 +38,7 @@
 	Control    Control  `toml:"control"`
 	TLS        TLS      `toml:"tls"`
 	Rates      Rates    `toml:"rates"`
+	Claims     Claims   `toml:"claims"`
 	Upstream   Upstream `toml:"upstream"`
 	Bounds     Bounds   `toml:"bounds"`
 	Stop       Stop     `toml:"stop"`
@@ -88,6 +89,15 @@
 	// failure domain. The fleet may then exceed the row by the parts of the nodes concerned.
 	// Without it such requests are refused.
 	Standby bool `toml:"standby"`
+	// Window has rates kept by windows of that span: in each, a row lets through what its rate brings, and its burst.
+	// Zero keeps them request by request, as a bucket that fills at the rate.
+	Window Duration `toml:"window"`
+}
+
+// Claims says whether requests may be sent under an Idempotency-Key.
+type Claims struct {
+	// Off has no claims kept; a request under a key that is not idempotent is refused.
+	Off bool `toml:"off"`
 }
 
 // Unframed says what becomes of an upstream's answer that has neither length nor chunks.
--- a/server/adapting.go
+++ b/server/adapting.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/announcer"
 	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
@@ -30,6 +31,11 @@
 	return func(sv *Server) { sv.answerCheck = check }
 }
 
+// WithRequestIdentity names callers' requests by a function, as forwarder.WithIdentity says.
+func WithRequestIdentity(identify func(*http.Request) gypsumhoist.RequestID) Option {
+	return func(sv *Server) { sv.identify = identify }
+}
+
 // Announce takes what the upstream beside the node says of itself, as the upstream's port does.
 // On a process without the node role it does nothing.
 func (sv *Server) Announce(an announcer.Announcement) {
--- a/server/groups.go
+++ b/server/groups.go
@@ -50,7 +50,7 @@
 
 func (sv *Server) ownGroups() []LedGroup {
 	out := []LedGroup{}
-	if sv.node == nil {
+	if sv.node == nil || sv.node.shards == nil {
 		return out
 	}
 	for _, gs := range sv.node.shards.sharder.Status() {
--- a/server/node.go
+++ b/server/node.go
@@ -40,6 +40,7 @@
 	shards    *shards
 	limits    *limits
 	claimer   *claimer.Claimer
+	allotted  *allotted
 	reporter  *reporter.Reporter
 
 	mu      sync.Mutex
@@ -58,22 +59,34 @@
 	nd.poison = newPoison(sv, nd)
 	nd.announcer = announcer.New(announcer.WithLogger(sv.logger), announcer.WithNotify(nd.announced),
 		announcer.WithLapse(time.Duration(sv.settings.Upstream.Lapse)))
-	nd.shards = newShards(sv)
-	nd.limits = newLimits(sv, nd.shards)
-	nd.claimer = claimer.New(claimer.WithGroup(nd.shards), claimer.WithLogger(sv.logger), claimer.WithMetrics(sv.metrics))
+	opts := []forwarder.Option{}
+	if sv.identify != nil {
+		opts = append(opts, forwarder.WithIdentity(sv.identify))
+	}
+	if !sv.settings.Claims.Off {
+		nd.shards = newShards(sv)
+		nd.claimer = claimer.New(claimer.WithGroup(nd.shards), claimer.WithLogger(sv.logger), claimer.WithMetrics(sv.metrics))
+		opts = append(opts, forwarder.WithClaimer(nd.claimer))
+	}
+	if sv.settings.Rates.Window > 0 {
+		nd.allotted = newAllotted(sv)
+		opts = append(opts, forwarder.WithSpender(nd.allotted.allocator))
+	} else {
+		nd.limits = newLimits(sv, nd.shards)
+		opts = append(opts, forwarder.WithSpender(nd.limits.limiter))
+	}
 	nd.reporter = reporter.New(reporter.WithLogger(sv.logger), reporter.WithMetrics(sv.metrics))
 	bd := sv.settings.Bounds
-	nd.forwarder = forwarder.New(
+	nd.forwarder = forwarder.New(append(opts,
 		forwarder.WithInstance(sv.settings.Instance), forwarder.WithHolder(holder), forwarder.WithRouter(nd.router),
 		forwarder.WithRetrier(retrier.New(retrier.WithMetrics(sv.metrics))),
 		forwarder.WithAdmitter(nd.admitter, admitter.NewForecaster()),
 		forwarder.WithPeers(sv.peers), forwarder.WithBook(nd.book), forwarder.WithLogger(sv.logger),
 		forwarder.WithMetrics(sv.metrics), forwarder.WithWatch(nd.watch), forwarder.WithObserver(nd.observe),
-		forwarder.WithSpender(nd.limits.limiter), forwarder.WithClaimer(nd.claimer),
 		forwarder.WithQuarantiner(nd.poison.quarantiner), forwarder.WithBroken(nd.poison.broken),
 		forwarder.WithBounds(bd.BodyBytes, time.Duration(bd.FirstByte)),
 		forwarder.WithUnframed(sv.settings.Upstream.UnframedAnswers == loader.UnframedTake),
-	)
+	)...)
 	return nd
 }
 
@@ -83,21 +96,40 @@
 // mount adds what other instances can ask of the node role.
 func (nd *node) mount(mux *http.ServeMux) {
 	mux.Handle(nd.poison.quarantiner.Handler())
-	mux.Handle(nd.limits.limiter.Handler())
+	if nd.limits != nil {
+		mux.Handle(nd.limits.limiter.Handler())
+	}
+	if nd.allotted != nil {
+		mux.Handle(nd.allotted.allocator.Handler())
+	}
 }
 
 func (nd *node) start() {
 	nd.poison.start()
-	nd.shards.start()
-	nd.limits.start()
-	nd.claimer.Start()
+	if nd.shards != nil {
+		nd.shards.start()
+		nd.claimer.Start()
+	}
+	if nd.limits != nil {
+		nd.limits.start()
+	}
+	if nd.allotted != nil {
+		nd.allotted.allocator.Start()
+	}
 	nd.announcer.Start()
 }
 
 func (nd *node) stop() {
-	nd.claimer.Stop()
-	nd.limits.limiter.Stop()
-	nd.shards.sharder.Stop()
+	if nd.limits != nil {
+		nd.limits.limiter.Stop()
+	}
+	if nd.allotted != nil {
+		nd.allotted.allocator.Stop()
+	}
+	if nd.shards != nil {
+		nd.claimer.Stop()
+		nd.shards.sharder.Stop()
+	}
 	nd.poison.quarantiner.Stop()
 	nd.announcer.Stop()
 	nd.mu.Lock()
@@ -186,7 +218,12 @@
 // take takes a new table.
 func (nd *node) take(tb *registrar.Table) {
 	nd.watchTable(tb)
-	nd.shards.take(tb)
+	if nd.shards != nil {
+		nd.shards.take(tb)
+	}
+	if nd.allotted != nil {
+		nd.allotted.take(tb)
+	}
 }
 
 // watchTable watches the services that the table names, while they are few.
@@ -216,8 +253,15 @@
 	own := nd.present.Service
 	nd.mu.Unlock()
 	nd.poison.look(vw.ByService(own))
-	nd.shards.look(vw)
-	nd.limits.look(vw)
+	if nd.shards != nil {
+		nd.shards.look(vw)
+	}
+	if nd.limits != nil {
+		nd.limits.look(vw)
+	}
+	if nd.allotted != nil {
+		nd.allotted.look(vw)
+	}
 	for _, svc := range svcs {
 		nd.router.SetUpstreams(svc, upstreams(vw.ByService(svc)))
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"gopkg.in/tomb.v2"
 
+	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/announcer"
 	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/drainer"
@@ -55,6 +56,7 @@
 	callersThrough  func(http.Handler) http.Handler
 	peersThrough    func(http.Handler) http.Handler
 	upstreamThrough func(announcer.Announcement, http.RoundTripper) http.RoundTripper
+	identify        func(*http.Request) gypsumhoist.RequestID
 	answerCheck     func(*http.Request, *http.Response) error
 }
 
@@ -258,7 +260,7 @@
 		sv.node.leave()
 	}
 	err := sv.gossiper.Leave(ctx)
-	if sv.node == nil {
+	if sv.node == nil || sv.node.shards == nil {
 		return err
 	}
 	seats, cancel := context.WithTimeout(ctx, seatsTime)
