--- a/cmd/gypsumhoist/table.go
+++ b/cmd/gypsumhoist/table.go
@@ -221,7 +221,7 @@
 func textValues(rt *registrarpb.RowText) []string {
 	return []string{
 		rt.GetWorkspace(), rt.GetRoute(), rt.GetService(), rt.GetOpen(), rt.GetImportance(), rt.GetWeight(),
-		rt.GetRate(), rt.GetBurst(), rt.GetRetries(), rt.GetRetryPercent(), rt.GetIdempotent(), rt.GetDeadline(),
+		rt.GetRate(), rt.GetBurst(), rt.GetRetries(), rt.GetAttempts(), rt.GetRetryPercent(), rt.GetIdempotent(), rt.GetDeadline(),
 		rt.GetLatency(), rt.GetObjective(), rt.GetCutOff(), strconv.FormatUint(rt.GetNumber(), 10),
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -22,6 +22,7 @@
 	fw.retrier.First(key)
 	var tried []gypsumhoist.Instance
 	var last *gypsumhoist.Refusal
+	sent, rerouted := 0, 0
 	for no := uint32(1); ; no++ {
 		pk, err := fw.router.Pick(cl.service, cl.idempotent, tried...)
 		if err != nil {
@@ -35,12 +36,35 @@
 		}
 		cl.record.Note("forwarder", "attempt "+strconv.Itoa(int(no))+" failed: "+string(rf.Reason), rf.Detail)
 		last = worst(rf, last)
-		if !fw.retry(key, cl, rf, len(tried)) {
+		if untouched(rf) && rerouted < reroutesMax && !fw.overloaded(cl, fw.router.View(cl.service).Upstreams) {
+			rerouted++
+			cl.record.Note("router", "rerouted", "")
+			continue
+		}
+		sent++
+		if !fw.retry(key, cl, rf, len(tried)) || cl.row.Attempts > 0 && sent >= cl.row.Attempts {
 			return nil, last
 		}
 	}
 }
 
+// reroutesMax bounds how often a call goes on to another node after one that did not hand it to its upstream.
+const reroutesMax = 2
+
+// untouched reports whether a node refused a call without having sent it to its upstream, for a cause that another node
+// may not have, so that going on costs no upstream anything and is no retry.
+func untouched(rf *gypsumhoist.Refusal) bool {
+	if rf.Verdict != gypsumhoist.VerdictNotRun || !rf.Untouched {
+		return false
+	}
+	switch rf.Reason {
+	case gypsumhoist.ReasonOverload, gypsumhoist.ReasonLeaving, gypsumhoist.ReasonNoUpstream:
+		return true
+	default:
+		return false
+	}
+}
+
 // retry decides whether a failed attempt is followed by another.
 func (fw *Forwarder) retry(key retrier.RowKey, cl *call, rf *gypsumhoist.Refusal, tried int) bool {
 	vw := fw.router.View(cl.service)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -149,7 +149,7 @@
 	if bd, ok := tb.Bounds(ws); ok {
 		cl.bounds = bd
 		if bd.Importance != registrar.ImportanceOfRoute {
-			cl.importance = bd.Importance
+			cl.importance = ranked(bd.Importance, rw.Importance)
 		}
 	}
 	cl.deadline = cl.started.Add(rw.Deadline)
@@ -157,6 +157,16 @@
 	cl.idempotent = idempotent(rw.Idempotent, method)
 }
 
+// routeSteps is into how many steps the importance of routes is cut that orders the requests of workspaces
+// of one importance.
+const routeSteps = 10
+
+// ranked returns the importance of a request whose workspace has one of its own: that one goes first, and among workspaces
+// whose importance differs by less than routeSteps the routes decide.
+func ranked(workspace, route gypsumhoist.Importance) gypsumhoist.Importance {
+	return min(workspace+route*(routeSteps-1)/gypsumhoist.ImportanceMax, gypsumhoist.ImportanceMax)
+}
+
 // weight returns the workspace's share of a queue.
 func (cl *call) weight() int {
 	if cl.bounds != nil {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -161,6 +161,7 @@
 		Reason:     gypsumhoist.Reason(fb.GetReason()),
 		RetryAfter: time.Duration(fb.GetRetryAfterMs()) * time.Millisecond,
 		Detail:     fb.GetDetail(),
+		Untouched:  fb.GetUntouched(),
 	}
 }
 
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -63,6 +63,7 @@
 	fb.Reason = string(rf.Reason)
 	fb.RetryAfterMs = rf.RetryAfter.Milliseconds()
 	fb.Detail = rf.Detail
+	fb.Untouched = rf.Untouched
 	wr.Header().Set(HeaderFeedback, encode(fb))
 	wr.WriteHeader(rf.Reason.Status())
 }
@@ -133,7 +134,7 @@
 // runHere runs a call at this node's upstream until the head of its answer.
 func (fw *Forwarder) runHere(ctx context.Context, hop *forwarderpb.Hop, out *http.Request) (*running, *gypsumhoist.Refusal) {
 	rn := &running{fw: fw, ctx: ctx, budget: retrier.NewBudget(int(hop.GetBudget())), record: fw.hopRecord(hop, out)}
-	rf := fw.admit(ctx, hop, out, rn)
+	rf := untouchedBy(fw.admit(ctx, hop, out, rn))
 	if rf == nil {
 		rf = fw.exchange(ctx, hop, out, rn)
 	}
@@ -147,6 +148,16 @@
 	return nil, rf
 }
 
+// untouchedBy marks a refusal of a call that was not handed to the upstream.
+func untouchedBy(rf *gypsumhoist.Refusal) *gypsumhoist.Refusal {
+	if rf == nil {
+		return nil
+	}
+	out := *rf
+	out.Untouched = true
+	return &out
+}
+
 func (fw *Forwarder) hopRecord(hop *forwarderpb.Hop, out *http.Request) *explainer.Record {
 	return &explainer.Record{
 		Request: gypsumhoist.RequestID(hop.GetRequest()), Instance: fw.instance, Hop: true, Started: time.Now(),
@@ -224,6 +235,9 @@
 	out.Header.Set(gypsumhoist.HeaderCall, rn.token)
 	out.Header.Set(gypsumhoist.HeaderRequest, hop.GetRequest())
 	out.Header.Set(gypsumhoist.HeaderAttempt, strconv.FormatUint(uint64(hop.GetAttempt()), 10))
+	if hop.GetDepth() > 0 {
+		out.Header.Set(gypsumhoist.HeaderDepth, strconv.Itoa(int(hop.GetDepth())))
+	}
 	if hop.GetKeyId() != "" {
 		out.Header.Set(gypsumhoist.HeaderWorkspace, hop.GetWorkspace())
 	}
--- a/header.go
+++ b/header.go
@@ -18,6 +18,8 @@
 	HeaderDeadline = "Gypsumhoist-Deadline-Ms"
 	// HeaderWorkspace carries the workspace for which a request runs, to an upstream; it is missing where no key came.
 	HeaderWorkspace = "Gypsumhoist-Workspace"
+	// HeaderDepth carries to an upstream how many calls of upstreams led to the request; it is missing on a caller's own.
+	HeaderDepth = "Gypsumhoist-Depth"
 	// HeaderAttempt carries the number of the attempt of a request at an upstream, from 1.
 	HeaderAttempt = "Gypsumhoist-Attempt"
 	// HeaderRetryAfter carries on a refusal the milliseconds after which a caller may ask again; Retry-After has them in seconds.
--- a/refusal.go
+++ b/refusal.go
@@ -13,6 +13,8 @@
 	// RetryAfter is how long the caller should wait before it asks again.
 	// Zero means that no time helps or that asking at once is fine.
 	RetryAfter time.Duration
+	// Untouched tells that the upstream's node did not hand the request to the upstream: another one may be asked at no cost.
+	Untouched bool
 	// Detail is one plain sentence for people; it never holds a key.
 	Detail string
 }
--- a/registrar/check.go
+++ b/registrar/check.go
@@ -129,6 +129,11 @@
 		fmt.Sprintf("0 to %d", RetriesMax),
 		func(rw Row) bool { return rw.Retries >= 0 && rw.Retries <= RetriesMax },
 	},
+	{
+		ColumnAttempts,
+		fmt.Sprintf("0 for no bound, or up to %d", RetriesMax+1),
+		func(rw Row) bool { return rw.Attempts >= 0 && rw.Attempts <= RetriesMax+1 },
+	},
 	{
 		ColumnRetryPercent,
 		fmt.Sprintf("0 to %d", RetryPercentMax),
--- a/registrar/column.go
+++ b/registrar/column.go
@@ -14,6 +14,7 @@
 	ColumnRate         Column = "rate"
 	ColumnBurst        Column = "burst"
 	ColumnRetries      Column = "retries"
+	ColumnAttempts     Column = "attempts"
 	ColumnRetryPercent Column = "retry_percent"
 	ColumnIdempotent   Column = "idempotent"
 	ColumnDeadline     Column = "deadline"
@@ -27,10 +28,10 @@
 func Columns() []Column {
 	return []Column{
 		ColumnWorkspace, ColumnRoute, ColumnService, ColumnOpen, ColumnImportance,
-		ColumnWeight, ColumnRate, ColumnBurst, ColumnRetries, ColumnRetryPercent,
+		ColumnWeight, ColumnRate, ColumnBurst, ColumnRetries, ColumnAttempts, ColumnRetryPercent,
 		ColumnIdempotent, ColumnDeadline, ColumnLatency, ColumnObjective, ColumnCutOff, ColumnNumber,
 	}
 }
 
 // optional reports whether a file may lack the column, as those do that were written before it came.
-func (cl Column) optional() bool { return cl == ColumnLatency }
+func (cl Column) optional() bool { return cl == ColumnLatency || cl == ColumnAttempts }
--- a/registrar/message.go
+++ b/registrar/message.go
@@ -34,6 +34,7 @@
 		CutOff:       uint32(rw.CutOff),
 		Number:       rw.Number,
 		LatencyNs:    int64(rw.TargetLatency),
+		Attempts:     int32(rw.Attempts),
 		Split:        splitMessages(rw.Split),
 	}
 }
@@ -77,6 +78,7 @@
 		Number:       ms.GetNumber(),
 
 		TargetLatency: time.Duration(ms.GetLatencyNs()),
+		Attempts:      int(ms.GetAttempts()),
 		Split:         splitFromMessages(ms.GetSplit()),
 	}
 	if err := rw.Check(); err != nil {
--- a/registrar/office_text.go
+++ b/registrar/office_text.go
@@ -27,6 +27,7 @@
 		CutOff:       rw.Text(ColumnCutOff),
 		Number:       rw.Number,
 		Latency:      rw.Text(ColumnLatency),
+		Attempts:     rw.Text(ColumnAttempts),
 	}
 }
 
--- a/registrar/row.go
+++ b/registrar/row.go
@@ -76,6 +76,8 @@
 	Burst int64
 	// Retries is the retry budget of one request over its whole chain.
 	Retries int
+	// Attempts bounds the upstreams that one call of the route may be sent to; zero leaves that to the retries.
+	Attempts int
 	// RetryPercent bounds the retries of the row to a share of its first tries.
 	RetryPercent int
 	Idempotent   Idempotence
--- a/registrar/text.go
+++ b/registrar/text.go
@@ -66,6 +66,8 @@
 		return strconv.FormatInt(rw.Burst, 10)
 	case ColumnRetries:
 		return strconv.Itoa(rw.Retries)
+	case ColumnAttempts:
+		return strconv.Itoa(rw.Attempts)
 	case ColumnRetryPercent:
 		return strconv.Itoa(rw.RetryPercent)
 	case ColumnIdempotent:
@@ -126,6 +128,8 @@
 		return parseInto(&rw.Burst, txt, ruleOf(cl), parseWhole[int64])
 	case ColumnRetries:
 		return parseInto(&rw.Retries, txt, ruleOf(cl), parseWhole[int])
+	case ColumnAttempts:
+		return parseInto(&rw.Attempts, txt, ruleOf(cl), parseWhole[int])
 	case ColumnRetryPercent:
 		return parseInto(&rw.RetryPercent, txt, ruleOf(cl), parseWhole[int])
 	case ColumnIdempotent:
--- a/server/adapting.go
+++ b/server/adapting.go
@@ -9,9 +9,10 @@
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 )
 
-// WithCallersThrough puts a handler before that of callers' requests, for deployments whose callers
-// speak other headers. It must set nothing on an answer that it does not mean for callers.
-func WithCallersThrough(through func(http.Handler) http.Handler) Option {
+// WithCallersThrough puts a handler before those of callers' requests and of the upstream's own calls, for deployments
+// whose callers speak other headers, or whose upstreams call on the callers' port.
+// It must set nothing on an answer that it does not mean for callers.
+func WithCallersThrough(through func(callers, nested http.Handler) http.Handler) Option {
 	return func(sv *Server) { sv.callersThrough = through }
 }
 
--- a/server/run.go
+++ b/server/run.go
@@ -40,7 +40,7 @@
 	case <-late.C:
 	}
 	sv.take(sv.spreader.Holder().Current())
-	err := sv.listen("callers", sv.settings.Listen.Callers, sv.drainer.Count(sv.callersThrough(sv.node.forwarder.Callers())))
+	err := sv.listen("callers", sv.settings.Listen.Callers, sv.drainer.Count(sv.callersThrough(sv.node.forwarder.Callers(), sv.node.forwarder.Outbound())))
 	if err != nil {
 		sv.logger.Log(eventPort, "port", "callers", "err", err)
 		sv.tmb.Kill(err)
--- a/server/server.go
+++ b/server/server.go
@@ -53,7 +53,7 @@
 	ports    []*port
 	opened   atomic.Bool
 
-	callersThrough  func(http.Handler) http.Handler
+	callersThrough  func(callers, nested http.Handler) http.Handler
 	peersThrough    func(http.Handler) http.Handler
 	upstreamThrough func(announcer.Announcement, http.RoundTripper) http.RoundTripper
 	identify        func(*http.Request) gypsumhoist.RequestID
@@ -84,7 +84,7 @@
 func New(st loader.Settings, opts ...Option) *Server {
 	same := func(next http.Handler) http.Handler { return next }
 	sv := &Server{
-		settings: st, metrics: metrics.NewSet(), callersThrough: same, peersThrough: same,
+		settings: st, metrics: metrics.NewSet(), callersThrough: func(callers, _ http.Handler) http.Handler { return callers }, peersThrough: same,
 		upstreamThrough: func(_ announcer.Announcement, next http.RoundTripper) http.RoundTripper { return next },
 	}
 	for _, opt := range opts {
