throttler: an entry node refuses early what too few of its kind survive

Change: each entry node counts how its own requests of a route and importance end, and while too many fail for overload refuses as many of the next.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -32,11 +32,14 @@
 	deadline   time.Time
 	budget     *retrier.Budget
 	nested     bool
-	idempotent bool
-	started    time.Time
-	body       *body
-	print      [sha256.Size]byte
-	record     *explainer.Record
+	// admitted tells that the throttler let the request in, childRefused that a call of its upstream's own was refused.
+	admitted     bool
+	childRefused bool
+	idempotent   bool
+	started      time.Time
+	body         *body
+	print        [sha256.Size]byte
+	record       *explainer.Record
 	// parent is the call in flight that a nested call belongs to; nil for others.
 	parent *authenticator.Call[*retrier.Budget]
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -120,6 +120,7 @@
 	at.share.Return(int(fb.GetBudget()))
 	at.note(fb)
 	oc := router.Outcome{Result: answerResult(rs.StatusCode), Latency: at.head, Load: loadOf(fb)}
+	at.cl.childRefused = at.cl.childRefused || fb.GetChildRefused()
 	if err != nil || fb.GetChildRefused() {
 		oc.Result = router.ResultNeutral
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 	"github.com/gypsumhoist/gypsumhoist/retrier"
 	"github.com/gypsumhoist/gypsumhoist/router"
+	"github.com/gypsumhoist/gypsumhoist/throttler"
 )
 
 // Spender takes a token of a row's rate and burst for one request.
@@ -76,6 +77,7 @@
 	meters     meters
 	deeper     deeper
 	splitter   splitter
+	throttler  *throttler.Throttler
 	identify   func(*http.Request) gypsumhoist.RequestID
 	unframed   bool
 }
@@ -166,6 +168,9 @@
 	}
 }
 
+// WithThrottler has fresh requests refused at their entry while too few of their kind end well; nil refuses none.
+func WithThrottler(th *throttler.Throttler) Option { return func(fw *Forwarder) { fw.throttler = th } }
+
 // WithBounds sets the longest body in bytes and the longest time to the first byte of an answer.
 // Values of zero or less keep the defaults.
 func WithBounds(bodyBytes int64, firstByte time.Duration) Option {
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -87,6 +87,10 @@
 		cl.record.Note("admitter", "refused early", rf.Detail)
 		return rf
 	}
+	if rf := fw.throttle(cl); rf != nil {
+		cl.record.Note("throttler", "refused early", rf.Detail)
+		return rf
+	}
 	if cl.nested || fw.spender == nil {
 		fw.deeper.learn(cl)
 		return nil
@@ -131,6 +135,7 @@
 
 // finish ends the bookkeeping of a request.
 func (fw *Forwarder) finish(cl *call, whole bool) {
+	fw.throttled(cl)
 	fw.keep(cl.record)
 	if fw.observe == nil || cl.nested || cl.row == nil {
 		return
--- a/server/node.go
+++ b/server/node.go
@@ -19,6 +19,7 @@
 	"github.com/gypsumhoist/gypsumhoist/reporter"
 	"github.com/gypsumhoist/gypsumhoist/retrier"
 	"github.com/gypsumhoist/gypsumhoist/router"
+	"github.com/gypsumhoist/gypsumhoist/throttler"
 )
 
 // recordsKept is how many decisions a node keeps for explain.
@@ -59,7 +60,7 @@
 	nd.poison = newPoison(sv, nd)
 	nd.announcer = announcer.New(announcer.WithLogger(sv.logger), announcer.WithNotify(nd.announced),
 		announcer.WithLapse(time.Duration(sv.settings.Upstream.Lapse)))
-	opts := []forwarder.Option{}
+	opts := []forwarder.Option{forwarder.WithThrottler(throttler.New(sv.fork()))}
 	if sv.identify != nil {
 		opts = append(opts, forwarder.WithIdentity(sv.identify))
 	}
--- /dev/null
+++ b/throttler/throttler.go
@@ -0,0 +1,105 @@
+// Package throttler refuses requests where they enter while too few of their kind come to a good end.
+//
+// Work that is begun and then refused deep in a chain of calls is wasted. An entry node sees how its own requests of a route
+// end: while more of them fail for overload than a margin allows, it refuses as many of the next ones at once, so that
+// those which it lets in can be served. Nodes need not agree, and what lies behind needs no say.
+package throttler
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gypsumhoist/gypsumhoist"
+)
+
+// Constants of throttling.
+const (
+	margin     = 1.4             // requests that are let in for each one that ends well
+	window     = 2 * time.Second // over which ends are counted
+	sliceCount = 8
+	leastCount = 12.0 // requests of a window without which nothing is refused
+	retryLeast = 250 * time.Millisecond
+	retryMost  = 750 * time.Millisecond
+	routesMax  = 8192
+)
+
+// Key names a kind of requests: those of one route and importance.
+type Key struct {
+	Route      string
+	Importance gypsumhoist.Importance
+}
+
+// Throttler keeps the ends of all kinds of requests at one entry node. It is safe for concurrent use.
+// The zero value is not usable; call New.
+type Throttler struct {
+	mu     sync.Mutex
+	start  time.Time
+	random *rand.Rand
+	kinds  map[Key]*kind
+}
+
+// kind counts one kind of requests in slices of the window.
+type kind struct {
+	asked, ended [sliceCount]float64
+	slice        int64
+}
+
+// New returns a throttler that has seen nothing and refuses nothing. It owns the source of random numbers.
+func New(random *rand.Rand) *Throttler {
+	return &Throttler{start: time.Now(), random: random, kinds: map[Key]*kind{}}
+}
+
+// Admit returns nil, or a refusal of a request whose kind fares badly.
+func (th *Throttler) Admit(key Key) *gypsumhoist.Refusal {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	kd := th.kind(key)
+	if kd == nil {
+		return nil
+	}
+	asked, ended := sum(kd.asked), sum(kd.ended)
+	kd.asked[kd.slice%sliceCount]++
+	if asked < leastCount || th.random.Float64() >= (asked-margin*ended)/(asked+1) {
+		return nil
+	}
+	wait := retryLeast + time.Duration(th.random.Int64N(int64(retryMost-retryLeast)))
+	return gypsumhoist.NotRun(gypsumhoist.ReasonOverload, wait, "too few requests of the route are served now, here or deeper down the chain")
+}
+
+// Done notes the end of a request that Admit let in: well, or not as something was overloaded.
+// A request whose end tells nothing of load counts as ended well.
+func (th *Throttler) Done(key Key, well bool) {
+	th.mu.Lock()
+	defer th.mu.Unlock()
+	if kd := th.kind(key); kd != nil && well {
+		kd.ended[kd.slice%sliceCount]++
+	}
+}
+
+// kind returns the counts of a kind, moved on to the present slice; nil beyond routesMax.
+func (th *Throttler) kind(key Key) *kind {
+	now := int64(time.Since(th.start) * sliceCount / window)
+	kd := th.kinds[key]
+	if kd == nil {
+		if len(th.kinds) >= routesMax {
+			clear(th.kinds)
+		}
+		kd = &kind{slice: now}
+		th.kinds[key] = kd
+	}
+	for steps := 0; kd.slice < now && steps < sliceCount; steps++ {
+		kd.slice++
+		kd.asked[kd.slice%sliceCount], kd.ended[kd.slice%sliceCount] = 0, 0
+	}
+	kd.slice = now
+	return kd
+}
+
+func sum(slices [sliceCount]float64) float64 {
+	total := 0.0
+	for _, count := range slices {
+		total += count
+	}
+	return total
+}
