server, platform: settings are read again on SIGHUP; a lost control seat goes to its domain's next instance; a call's wait for its turn goes by its target latency

Causes: SIGHUP ended a process; a control instance under a new name became one voter more beside the lost one, so that three voters of four had to be up; an instance that is no founder was introduced to founders only, who may not lead; a nested call of a 300 ms target waited 500 ms for its turn before it was shed, while its parents held their slots. Ruled out: removing a voter that is silent for some seconds: a cut looks the same, and a removed member can't come back.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -197,6 +197,7 @@
 		Weight:     ask.Weight,
 		Importance: ask.Importance,
 		Depth:      ask.Depth,
+		Patience:   ask.Patience,
 	}
 	if !ask.Deadline.IsZero() {
 		rq.Deadline = max(ask.Deadline.Sub(ad.start), 1)
--- a/admitter/api.go
+++ b/admitter/api.go
@@ -16,6 +16,8 @@
 	Importance gypsumhoist.Importance
 	// Depth is how many calls up the chain already hold work for this request; zero is fresh work.
 	Depth int
+	// Patience is how long the request may wait while it is among the least important; zero leaves that to the admitter.
+	Patience time.Duration
 	// Deadline is when the whole answer is due; the zero time means no deadline.
 	Deadline time.Time
 }
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -19,6 +19,8 @@
 	Depth      int
 	// Deadline is when the whole answer is due; zero means no deadline.
 	Deadline time.Duration
+	// Patience is how long the request may wait while it is among the least important; zero for waitMax.
+	Patience time.Duration
 
 	untimed bool // it runs whatever the estimate of its route says
 }
@@ -123,7 +125,7 @@
 }
 
 func (co *Core) enqueue(now time.Duration, id ID, rq Request) Decision {
-	wt := &waiter{id: id, route: rq.Route, untimed: rq.untimed, arrived: now, deadline: rq.Deadline}
+	wt := &waiter{id: id, route: rq.Route, untimed: rq.untimed, arrived: now, deadline: rq.Deadline, patience: rq.Patience}
 	co.queue.add(now, wt, rq)
 	// Only now, so that what is refused for its age never ranks above the new request.
 	co.sweep(now)
--- a/admitter/flow.go
+++ b/admitter/flow.go
@@ -15,6 +15,7 @@
 	untimed  bool
 	arrived  time.Duration
 	deadline time.Duration
+	patience time.Duration
 	older    *waiter // neighbours in the flow
 	newer    *waiter
 	before   *waiter // neighbours in the queue
--- a/admitter/shed.go
+++ b/admitter/shed.go
@@ -55,7 +55,7 @@
 		co.refusals.deadline++
 		return co.tooLate()
 	}
-	if now-wt.arrived >= co.waitMax() && wt.flow.class == co.queue.lowest() {
+	if now-wt.arrived >= co.patience(wt) && wt.flow.class == co.queue.lowest() {
 		return co.shed(now, wt)
 	}
 	return nil
@@ -76,7 +76,7 @@
 
 // due returns when Expire should look at a waiting request.
 func (co *Core) due(wt *waiter) time.Duration {
-	at := wt.arrived + co.waitMax()
+	at := wt.arrived + co.patience(wt)
 	if wt.deadline == 0 {
 		return at
 	}
@@ -112,6 +112,14 @@
 	return co.times.all.quick * time.Duration(ahead) / time.Duration(co.limit.now())
 }
 
+// patience returns how long a request may wait while it is among the least important.
+func (co *Core) patience(wt *waiter) time.Duration {
+	if wt.patience > 0 {
+		return min(wt.patience, co.waitMax())
+	}
+	return co.waitMax()
+}
+
 func (co *Core) waitMax() time.Duration { return max(waitMax, waitMaxTimes*co.times.all.median) }
 
 // places returns how many requests may wait. An upstream that has become slow has few places:
--- a/cmd/gypsumhoist/serve.go
+++ b/cmd/gypsumhoist/serve.go
@@ -17,7 +17,7 @@
 	Settings string `arg:"" help:"Settings file in TOML." type:"existingfile"`
 }
 
-// Run serves until a signal; a second signal ends the stop at once.
+// Run serves until a signal; a second signal ends the stop at once. SIGHUP reads the settings anew.
 func (cmd *serveCmd) Run() error {
 	st, err := loader.Load(cmd.Settings)
 	if err != nil {
@@ -29,10 +29,18 @@
 	}
 	sig := make(chan os.Signal, 2)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
-	select {
-	case <-sig:
-	case <-sv.Dead():
-		return errors.New("the process has stopped by itself; its log says why")
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for stop := false; !stop; {
+		select {
+		case <-sig:
+			stop = true
+		case <-hup:
+			// A file with faults is logged, and changes nothing.
+			_ = sv.Reload(cmd.Settings)
+		case <-sv.Dead():
+			return errors.New("the process has stopped by itself; its log says why")
+		}
 	}
 	// signal.NotifyContext takes over: a second signal ends the stop at once.
 	signal.Stop(sig)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/forwarder/forwarderpb"
+	"github.com/gypsumhoist/gypsumhoist/registrar"
 	"github.com/gypsumhoist/gypsumhoist/retrier"
 	"github.com/gypsumhoist/gypsumhoist/router"
 )
@@ -136,9 +137,25 @@
 		Depth:      int32(cl.depth),
 		Idempotent: cl.idempotent,
 		Attempt:    no,
+		PatienceUs: patience(cl.row).Microseconds(),
 	}
 }
 
+// patienceParts is of how many parts of its target latency a call may spend one on waiting for its turn,
+// and patienceLeast how long it may wait at least.
+const (
+	patienceParts = 4
+	patienceLeast = 40 * time.Millisecond
+)
+
+// patience returns how long a call of a row may wait for its turn; zero for a row without a target.
+func patience(rw *registrar.Row) time.Duration {
+	if rw.TargetLatency == 0 {
+		return 0
+	}
+	return max(rw.TargetLatency/patienceParts, patienceLeast)
+}
+
 // outgoing returns the request as it goes to an upstream, without a target host.
 func (fw *Forwarder) outgoing(ctx context.Context, req *http.Request, cl *call) *http.Request {
 	target := *req.URL
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -184,6 +184,7 @@
 		Importance: gypsumhoist.Importance(hop.GetImportance()),
 		Depth:      int(hop.GetDepth()),
 		Deadline:   deadline,
+		Patience:   time.Duration(hop.GetPatienceUs()) * time.Microsecond,
 	})
 	if err != nil {
 		rn.flight.end(quarantiner.EndNeutral)
--- a/gossiper/core.go
+++ b/gossiper/core.go
@@ -89,7 +89,7 @@
 		calls:      map[CallID]call{},
 		domains:    map[gypsumhoist.FailureDomain]*reach{},
 		met:        map[netip.AddrPort]bool{},
-		seeds:      slices.DeleteFunc(slices.Clone(seeds), func(ap netip.AddrPort) bool { return ap == self.Peer }),
+		seeds:      withoutSelf(seeds, self),
 		rand:       rnd,
 		now:        now,
 		linksStale: true,
@@ -127,6 +127,8 @@
 		cr.announce(ms.Upstream)
 	case Applied:
 		cr.hint.revision = ms.Revision
+	case Reseeded:
+		cr.reseed(ms.Seeds)
 	case Watched:
 		cr.watch(ms.Service)
 	case Told:
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -57,6 +57,8 @@
 	Announced struct{ Upstream Upstream }
 	// Applied changes the table revision that the instance tells.
 	Applied struct{ Revision uint64 }
+	// Reseeded replaces the peer ports that are asked to join.
+	Reseeded struct{ Seeds []netip.AddrPort }
 	// Watched adds a service to those whose upstreams are followed.
 	Watched struct{ Service gypsumhoist.Service }
 	// Told spreads a rumor.
@@ -75,6 +77,7 @@
 func (Announced) isMessage() {}
 func (Applied) isMessage()   {}
 func (Watched) isMessage()   {}
+func (Reseeded) isMessage()  {}
 func (Told) isMessage()      {}
 func (Departing) isMessage() {}
 func (Departed) isMessage()  {}
--- a/server/control.go
+++ b/server/control.go
@@ -5,10 +5,12 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/gypsumhoist/gypsumhoist/gossiper"
 	"github.com/gypsumhoist/gypsumhoist/journaler"
 	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
@@ -201,10 +203,7 @@
 	if se, ok := gp.Members().Find(gp.Self().ID()); ok && se.Voter && !replaces {
 		return
 	}
-	for _, addr := range founders(ct.sv.settings) {
-		if addr == ct.sv.settings.Listen.Peers {
-			continue
-		}
+	for _, addr := range ct.others() {
 		ctx, cancel := context.WithTimeout(ct.sv.tmb.Context(nil), repairEvery)
 		// One that does not answer is asked again at the next beat.
 		_, _ = ct.sv.host.Introduce(ctx, addr, controlGroup, gp.Self())
@@ -212,8 +211,36 @@
 	}
 }
 
+// others returns the founders and the control instances in view, each once, but this one.
+func (ct *control) others() []netip.AddrPort {
+	addrs := founders(ct.sv.settings)
+	for _, mb := range ct.sv.gossiper.View().Members() {
+		if mb.Roles.Has(gossiper.RoleControl) && mb.Status == gossiper.StatusAlive {
+			addrs = append(addrs, mb.Peer)
+		}
+	}
+	slices.SortFunc(addrs, netip.AddrPort.Compare)
+	return slices.DeleteFunc(slices.Compact(addrs), func(ap netip.AddrPort) bool { return ap == ct.sv.settings.Listen.Peers })
+}
+
+// lostSeat returns the seat of a member of another one's failure domain whose instance nobody reaches any more.
+func (ct *control) lostSeat(sts replicator.Seats, next replicator.Member) (replicator.Member, bool) {
+	vw := ct.sv.gossiper.View()
+	nb, known := vw.Member(next.Instance)
+	if !known {
+		return replicator.Member{}, false
+	}
+	for _, se := range sts {
+		mb, seen := vw.Member(se.Member.Instance)
+		if seen && mb.Domain == nb.Domain && mb.Status >= gossiper.StatusUnreachable {
+			return se.Member, true
+		}
+	}
+	return replicator.Member{}, false
+}
+
 // seat gives a member that introduced itself a vote: in place of its earlier identity when its disk was lost,
-// else, step by step, as one more. What can't be done in time is taken up when it introduces itself again.
+// or of a lost one of its failure domain, else, step by step, as one more. What can't be done in time is taken up when it introduces itself again.
 func (ct *control) seat(mb replicator.Member) {
 	gp := ct.group.Load()
 	if gp == nil {
@@ -226,6 +253,9 @@
 	defer cancel()
 	se, seated := gp.Members().Find(mb.ID())
 	old, replaces := oldSeat(gp.Members(), mb)
+	if !replaces && !(seated && se.Voter) {
+		old, replaces = ct.lostSeat(gp.Members(), mb)
+	}
 	switch {
 	case replaces:
 		if gp.Replace(ctx, old, mb) == nil {
