forwarder: one short feedback with a short answer

Change: a hash in place of id and attempt; a short answer is taken in whole at the upstream's node, ends there, and carries one feedback. An answer that breaks off there becomes a refusal instead of a broken stream.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -76,7 +76,7 @@
 // checkFeedback takes an answer only if it is the one to this attempt.
 func (at *attempt) checkFeedback(rs *http.Response) (*forwarderpb.Feedback, *gypsumhoist.Refusal) {
 	fb, err := DecodeFeedback(rs.Header.Get(HeaderFeedback))
-	if err == nil && (fb.GetRequest() != at.hop.GetRequest() || fb.GetAttempt() != at.hop.GetAttempt()) {
+	if err == nil && (fb.GetTag() != tagOf(at.hop)) {
 		err = errors.New("the answer belongs to another request")
 	}
 	if err == nil {
--- a/forwarder/export_test.go
+++ b/forwarder/export_test.go
@@ -5,3 +5,6 @@
 	CheckTarget = checkTarget
 	PlainPath   = plainPath
 )
+
+// TagOf is tagOf for tests.
+var TagOf = tagOf
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gypsumhoist/gypsumhoist"
@@ -94,6 +95,11 @@
 	return proto.Unmarshal(data, msg)
 }
 
+// tagOf returns what an answer to a hop must carry.
+func tagOf(hop *forwarderpb.Hop) uint64 {
+	return xxhash.Sum64String(hop.GetRequest()) + uint64(hop.GetAttempt())
+}
+
 // DecodeHop reads a HeaderHop value. A value without a target, a request or a workspace is an error.
 func DecodeHop(txt string) (*forwarderpb.Hop, error) {
 	hop := &forwarderpb.Hop{}
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -44,14 +44,27 @@
 		fw.refuseHop(wr, hop, rf)
 		return
 	}
-	head := fw.feedback(hop, 0)
+	unspent := 0
+	rp := &reply{rs: rn.rs, done: func(err error) { unspent = rn.end(err) }}
+	if rf := rp.prefetch(); rf != nil {
+		fw.refuseHop(wr, hop, rf)
+		return
+	}
+	if rp.whole {
+		rp.end(nil)
+	}
+	head := fw.feedback(hop, unspent)
 	head.ChildRefused = rn.call.Refused()
 	wr.Header().Set(HeaderFeedback, encode(head))
-	if err := copyAnswer(wr, rn.rs); err != nil {
-		rn.end(err)
+	if err := copyAnswer(wr, rp.rs); err != nil {
+		rp.end(err)
 		panic(http.ErrAbortHandler)
 	}
-	last := fw.feedback(hop, rn.end(nil))
+	if rp.whole {
+		return
+	}
+	rp.end(nil)
+	last := fw.feedback(hop, unspent)
 	last.ChildRefused = rn.call.Refused()
 	wr.Header().Set(http.TrailerPrefix+HeaderFeedback, encode(last))
 }
@@ -73,7 +86,7 @@
 	ld := fw.admitter.Load()
 	cut, age := fw.deeper.cutOff(hop.GetRoute(), fw)
 	return &forwarderpb.Feedback{
-		Request: hop.GetRequest(), Attempt: hop.GetAttempt(), Budget: int32(unspent),
+		Tag: tagOf(hop), Budget: int32(unspent),
 		InFlight: int32(ld.InFlight + ld.Waiting), Limit: int32(ld.Limit), CutOff: int32(ld.CutOff),
 		RouteCutOff: int32(cut), RouteCutOffAgeUs: age.Microseconds(),
 	}
--- a/forwarder/peer_test.go
+++ b/forwarder/peer_test.go
@@ -69,13 +69,13 @@
 			})()
 		},
 		Entry("another request", func(hop *forwarderpb.Hop) string {
-			return encoded(&forwarderpb.Feedback{Request: "other", Attempt: hop.GetAttempt()})
+			return encoded(&forwarderpb.Feedback{Tag: forwarder.TagOf(&forwarderpb.Hop{Request: "other", Attempt: hop.GetAttempt()})})
 		}),
 		Entry("another attempt of the request", func(hop *forwarderpb.Hop) string {
-			return encoded(&forwarderpb.Feedback{Request: hop.GetRequest(), Attempt: hop.GetAttempt() + 1})
+			return encoded(&forwarderpb.Feedback{Tag: forwarder.TagOf(&forwarderpb.Hop{Request: hop.GetRequest(), Attempt: hop.GetAttempt() + 1})})
 		}),
 		Entry("a refusal of another request", func(hop *forwarderpb.Hop) string {
-			return encoded(&forwarderpb.Feedback{Request: "other", Attempt: hop.GetAttempt(), Refused: true, Verdict: 1, Reason: "overload"})
+			return encoded(&forwarderpb.Feedback{Tag: forwarder.TagOf(&forwarderpb.Hop{Request: "other", Attempt: hop.GetAttempt()}), Refused: true, Verdict: 1, Reason: "overload"})
 		}),
 		Entry("no feedback", func(*forwarderpb.Hop) string { return "" }),
 		Entry("garbage", func(*forwarderpb.Hop) string { return "???" }),
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -20,6 +20,8 @@
 	rs   *http.Response
 	once sync.Once
 	done func(error)
+	// whole tells that the whole answer has been taken in.
+	whole bool
 }
 
 // end closes the answer and reports how it ended. Calls after the first do nothing.
@@ -63,6 +65,7 @@
 		return nil, false, cutShort(err)
 	}
 	rest, whole := rp.rs.Body, int64(ahead.Len()) <= size
+	rp.whole = whole
 	var all io.Reader = bytes.NewReader(ahead.Bytes())
 	if !whole {
 		all = io.MultiReader(all, rest)
