--- a/forwarder/claim.go
+++ b/forwarder/claim.go
@@ -63,7 +63,7 @@
 // once runs a request under a claim. The run goes on when the caller goes away,
 // so that a resend finds the whole answer.
 func (fw *Forwarder) once(req *http.Request, wr http.ResponseWriter, cl *call, gr claimer.Granted) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(req.Context()), cl.deadline)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(req.Context()), cl.deadline.Add(answerSlack))
 	defer cancel()
 	rp, rf := fw.run(ctx, req, cl)
 	if rf != nil {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -27,15 +27,18 @@
 
 // local runs the call at this node's own upstream.
 func (at *attempt) local(ctx context.Context, out *http.Request) (*reply, *gypsumhoist.Refusal) {
-	rn, rf := at.fw.runHere(ctx, at.hop, out)
+	ctx, cancel := context.WithDeadline(ctx, at.cl.deadline)
+	rn, rf := at.fw.runHere(ctx, at.hop, out.WithContext(ctx))
 	at.head = time.Since(at.started)
 	if rf != nil {
+		cancel()
 		at.refused(rf, at.fw.feedback(at.hop, 0))
 		return nil, rf
 	}
 	rp := &reply{rs: rn.rs}
 	rp.done = func(err error) {
 		unspent := rn.end(err)
+		cancel()
 		fb := at.fw.feedback(at.hop, unspent)
 		fb.ChildRefused = rn.call.Refused()
 		at.answered(rp.rs, fb, err)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -40,11 +40,15 @@
 		fw.refuse(wr, cl, "forwarder", rf)
 		return
 	}
-	ctx, cancel := context.WithDeadline(req.Context(), cl.deadline)
+	ctx, cancel := context.WithDeadline(req.Context(), cl.deadline.Add(answerSlack))
 	defer cancel()
 	fw.claimed(ctx, wr, req, cl)
 }
 
+// answerSlack is how long after a request's deadline its entry still waits for word of it: the upstream's node knows at
+// the deadline whether the request has run, and the entry should not guess.
+const answerSlack = 25 * time.Millisecond
+
 // describe fills the record with what the row says.
 func (fw *Forwarder) describe(cl *call) {
 	rc := cl.record
