--- a/cmd/gypsumhoist/operator_test.go
+++ b/cmd/gypsumhoist/operator_test.go
@@ -42,7 +42,8 @@
 
 func newOperator(t *testing.T) *operator {
 	sl := &soloLog{state: registrar.NewState(), holder: registrar.NewHolder()}
-	of := registrar.NewOffice(registrar.WithProposer(sl), registrar.WithHolder(sl.holder))
+	of := registrar.NewOffice(registrar.WithProposer(sl), registrar.WithHolder(sl.holder),
+		registrar.WithSheet(sl.state.Sheet))
 	_, handler := of.Handler()
 	sv := httptest.NewServer(handler)
 	t.Cleanup(sv.Close)
@@ -66,6 +67,7 @@
 	for _, of := range []*operatorFlags{
 		&cmds.Table.List.operatorFlags, &cmds.Table.Get.operatorFlags, &cmds.Table.Set.operatorFlags,
 		&cmds.Table.Delete.operatorFlags, &cmds.Table.Import.operatorFlags, &cmds.Table.Export.operatorFlags,
+		&cmds.Table.Replace.operatorFlags, &cmds.Table.Sheet.operatorFlags,
 		&cmds.Key.Grant.operatorFlags, &cmds.Key.Withdraw.operatorFlags, &cmds.Key.List.operatorFlags,
 		&cmds.Status.operatorFlags, &cmds.Domain.Drop.operatorFlags,
 		&cmds.Explain.operatorFlags, &cmds.Report.Burn.operatorFlags,
@@ -102,6 +104,28 @@
 	}
 }
 
+func TestSheetCommands(t *testing.T) {
+	op := newOperator(t)
+	op.mustRun("is now number 1", "table", "set", "derwent", "/slips", "service=rolls", "rate=1.5", "burst=10")
+	file := filepath.Join(t.TempDir(), "table.csv")
+	csv := op.mustRun("derwent,/slips,rolls", "table", "export")
+	write := func(old, now string) {
+		if err := os.WriteFile(file, []byte(strings.Replace(csv, old, now, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("/slips", "/rolls")
+	op.mustRun("version 3 is in force", "table", "replace", file, "--version=3", "--base=0")
+	op.mustRun("was accepted before", "table", "replace", file, "--version=3", "--base=0")
+	op.mustFail("there is no row", "table", "get", "derwent", "/slips")
+	op.mustRun("Sheet version 3 is in force", "table", "sheet")
+	write("/slips", "/fees")
+	op.mustFail("sheet version 3 is in force, but the new one was made from version 0", "table", "replace", file, "--version=4", "--base=0")
+	op.mustFail("is not above version 3", "table", "replace", file, "--version=2", "--base=3")
+	write(",1.5,", ",often,")
+	op.mustFail("column rate", "table", "replace", file, "--version=5", "--base=3")
+}
+
 func TestTableCommands(t *testing.T) {
 	op := newOperator(t)
 	op.mustRun("is now number 1", "table", "set", "derwent", "/slips", "service=rolls", "rate=1.5", "burst=10")
--- a/cmd/gypsumhoist/table.go
+++ b/cmd/gypsumhoist/table.go
@@ -19,6 +19,9 @@
 	Delete tableDeleteCmd `cmd:"" help:"Delete a row."`
 	Import tableImportCmd `cmd:"" help:"Put all rows of a CSV file in place, or none of them."`
 	Export tableExportCmd `cmd:"" help:"Write all rows as a CSV file that import takes back."`
+
+	Replace tableReplaceCmd `cmd:"" help:"Put a whole CSV file in the place of all rows, while the sheet in force is the one that it was made from."`
+	Sheet   tableSheetCmd   `cmd:"" help:"Say which sheet is in force."`
 }
 
 // rowFlags name a row.
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -77,6 +77,8 @@
 	Digest [sha256.Size]byte
 	Rows   []Row
 	Grants []KeyGrant
+	// KeepGrants leaves the present keys as they are.
+	KeepGrants bool
 	// Document is what the sheet was made from, kept as it is for ReadSheet.
 	Document []byte
 }
--- a/registrar/office_sheet.go
+++ b/registrar/office_sheet.go
@@ -60,7 +60,12 @@
 	if err != nil {
 		return Replace{}, err
 	}
-	rp := Replace{Version: ms.GetVersion(), Base: ms.GetBase(), Rows: rows, Document: []byte(ms.GetCsv())}
+	if ms.GetKeepKeys() && len(ms.GetKeys()) > 0 {
+		return Replace{}, errors.New("keys were given, and the present ones are to stay")
+	}
+	rp := Replace{
+		Version: ms.GetVersion(), Base: ms.GetBase(), Rows: rows, Document: []byte(ms.GetCsv()), KeepGrants: ms.GetKeepKeys(),
+	}
 	hs := sha256.New()
 	// A hash.Hash never returns an error.
 	_, _ = hs.Write(rp.Document)
--- a/registrar/sheet.go
+++ b/registrar/sheet.go
@@ -96,8 +96,10 @@
 	}
 	revision := st.step()
 	ended := Ended{Refusable: true}.and(st.replaceRows(rows, revision))
-	for _, ws := range st.replaceGrants(grants, revision, proposed) {
-		ended = ended.and(st.withdrawalEnds(ws))
+	if !ms.GetKeepGrants() {
+		for _, ws := range st.replaceGrants(grants, revision, proposed) {
+			ended = ended.and(st.withdrawalEnds(ws))
+		}
 	}
 	st.sheet.accept(acceptedSheet{version: ms.GetVersion(), digest: ms.GetDigest(), revision: revision}, ms.GetDocument())
 	as := accepted(fmt.Sprintf("sheet version %d is in force in the place of version %d", ms.GetVersion(), ms.GetBase()))
@@ -218,7 +220,7 @@
 }
 
 func replaceMessage(cd Replace) *registrarpb.Replace {
-	ms := &registrarpb.Replace{Version: cd.Version, Base: cd.Base, Digest: cd.Digest[:], Document: cd.Document}
+	ms := &registrarpb.Replace{Version: cd.Version, Base: cd.Base, Digest: cd.Digest[:], Document: cd.Document, KeepGrants: cd.KeepGrants}
 	for _, rw := range cd.Rows {
 		rw.Number = 0
 		ms.Rows = append(ms.Rows, rowMessage(rw))
