--- a/cmd/gypsumhoist/operator_test.go
+++ b/cmd/gypsumhoist/operator_test.go
@@ -120,7 +120,7 @@
 	op.mustFail("there is no row", "table", "get", "derwent", "/slips")
 	op.mustRun("Sheet version 3 is in force", "table", "sheet")
 	write("/slips", "/fees")
-	op.mustFail("sheet version 3 is in force, but the new one was made from version 0", "table", "replace", file, "--version=4", "--base=0")
+	op.mustFail("Sheet version 3 is in force, but the new one was made from version 0", "table", "replace", file, "--version=4", "--base=0")
 	op.mustFail("is not above version 3", "table", "replace", file, "--version=2", "--base=3")
 	write(",1.5,", ",often,")
 	op.mustFail("column rate", "table", "replace", file, "--version=5", "--base=3")
