--- a/forwarder/export_test.go
+++ b/forwarder/export_test.go
@@ -8,3 +8,6 @@
 
 // TagOf is tagOf for tests.
 var TagOf = tagOf
+
+// Ranked is ranked for tests.
+var Ranked = ranked
--- /dev/null
+++ b/forwarder/growth_test.go
@@ -0,0 +1,117 @@
+package forwarder_test
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/forwarder"
+	"github.com/gypsumhoist/gypsumhoist/registrar"
+)
+
+// tillDeadline answers with a failure at the moment at which its request is due.
+func tillDeadline(wr http.ResponseWriter, req *http.Request) {
+	ms, _ := strconv.Atoi(req.Header.Get(gypsumhoist.HeaderDeadline))
+	time.Sleep(time.Duration(ms) * time.Millisecond)
+	wr.WriteHeader(http.StatusGatewayTimeout)
+	_, _ = io.WriteString(wr, "too late")
+}
+
+var _ = Describe("a call's deadline", func() {
+	It("is the caller's where that is shorter than the row's", inFleet(func(fl *fleet) {
+		fl.add("slips-1", func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() })
+		entry := fl.add("roster-1", say(""))
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips"})
+		began := time.Now()
+		rs, _, err := fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, fl.grant("kingston"), gypsumhoist.HeaderDeadline, "300")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rs.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		Expect(time.Since(began)).To(BeNumerically("~", 310*time.Millisecond, 30*time.Millisecond))
+	}))
+
+	It("never leaves a caller without an answer when the upstream answers at that moment", inFleet(func(fl *fleet) {
+		fl.add("slips-1", tillDeadline)
+		entry := fl.add("roster-1", say(""))
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips", Deadline: 200 * time.Millisecond})
+		key := fl.grant("kingston")
+		for range 20 {
+			rs, _, err := fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, key)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rs.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		}
+	}))
+})
+
+var _ = Describe("a row with a split", func() {
+	It("shares its requests by weight, also few of them", inFleet(func(fl *fleet) {
+		one, two := fl.add("rolls-1", say("rolls")), fl.add("fees-1", say("fees"))
+		entry := fl.add("roster-1", say(""))
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Split: registrar.NewSplit(
+			registrar.Part{Service: "rolls", Weight: 3}, registrar.Part{Service: "fees", Weight: 1})})
+		key := fl.grant("kingston")
+		for range 40 {
+			_, _, err := fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, key)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(runs(one)).To(BeNumerically("~", 30, 1))
+		Expect(runs(two)).To(BeNumerically("~", 10, 1))
+	}))
+})
+
+var _ = Describe("attempts", func() {
+	It("go on past a node that did not hand the call to its upstream, without a retry", inFleet(func(fl *fleet) {
+		leaving := fl.add("slips-1", say("never"))
+		leaving.fw.SetLeaving(true)
+		fl.add("slips-2", say("ok"))
+		entry := fl.add("roster-1", say(""))
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips"})
+		key := fl.grant("kingston")
+		for range 10 {
+			rs, _, err := fl.call(entry, "POST", "/slips", "fee", gypsumhoist.HeaderKey, key)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rs.StatusCode).To(Equal(http.StatusOK))
+		}
+		Expect(runs(leaving)).To(BeZero())
+	}))
+
+	It("reach no more upstreams than the row's attempts, whatever the retries", inFleet(func(fl *fleet) {
+		bad := []*node{fl.add("slips-1", hangUp), fl.add("slips-2", hangUp), fl.add("slips-3", hangUp), fl.add("slips-4", hangUp)}
+		entry := fl.add("roster-1", say(""))
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips", Retries: 5, Attempts: 2})
+		_, _, err := fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, fl.grant("kingston"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(runs(bad...)).To(Equal(2))
+	}))
+})
+
+var _ = Describe("an old table", func() {
+	It("does not say that a key or a row is unknown", inFleet(func(fl *fleet) {
+		entry := fl.add("roster-1", say(""))
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips"})
+		known := fl.grant("kingston")
+		fl.withdrawAll()
+		rs, _, err := fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, known)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rs.StatusCode).To(Equal(http.StatusUnauthorized))
+		time.Sleep(3 * time.Second)
+		for _, pairs := range [][]string{{gypsumhoist.HeaderKey, known}, {}} {
+			rs, _, err := fl.call(entry, "GET", "/slips", "", pairs...)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rs.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(rs.Header.Get(gypsumhoist.HeaderReason)).To(BeEquivalentTo(gypsumhoist.ReasonTableStale))
+		}
+	}))
+})
+
+var _ = DescribeTable("the importance of a workspace goes first, and that of routes orders what is equal",
+	func(ws, route, otherWS, otherRoute gypsumhoist.Importance) {
+		Expect(forwarder.Ranked(ws, route)).To(BeNumerically(">", forwarder.Ranked(otherWS, otherRoute)))
+	},
+	Entry("routes of one workspace", gypsumhoist.Importance(80), gypsumhoist.Importance(90), gypsumhoist.Importance(80), gypsumhoist.Importance(70)),
+	Entry("workspaces ten apart", gypsumhoist.Importance(80), gypsumhoist.Importance(0), gypsumhoist.Importance(70), gypsumhoist.Importance(100)),
+)
