allocator: a quiet row's first request finds the tokens that its rate has brought

Cause: a keeper began a row's bucket, empty, when the row's first request came, however long the row had been quiet; found by a fleet whose first call of a row was refused after ten quiet seconds. Change: the bucket has filled since the row came and nodes began to report here.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -1,6 +1,7 @@
 package allocator_test
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -120,3 +121,15 @@
 		})
 	}
 }
+
+func TestTheFirstRequestsOfAQuietRowAreTakenIn(t *testing.T) {
+	rw := row(10, 9)
+	inBubble(t, 3, 5, rw, func(gm *gomega.WithT, fl *fleet) {
+		for at := range 3 {
+			gm.Expect(fl.members[at*5].al.Spend(context.Background(), rw, 50)).To(gomega.Succeed())
+		}
+		fl.restart(rw)
+		time.Sleep(2 * time.Second)
+		gm.Expect(fl.members[3].al.Spend(context.Background(), rw, 50)).To(gomega.Succeed())
+	})
+}
--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -52,6 +52,9 @@
 	fleet   int                                // nodes of all domains
 	limits  map[Key]Limit
 	rows    map[Key]*account
+	// since is when nodes began to report here without a break, known the time at which each row came.
+	since, heardAt time.Time
+	known          map[Key]time.Time
 	// vainUntil is until when other domains are taken to have nothing to give.
 	vainUntil time.Time
 }
@@ -76,7 +79,7 @@
 func NewKeeper(self gypsumhoist.FailureDomain) *Keeper {
 	return &Keeper{
 		self: self, members: map[gypsumhoist.Instance]time.Time{}, fleet: 1,
-		limits: map[Key]Limit{}, rows: map[Key]*account{},
+		limits: map[Key]Limit{}, rows: map[Key]*account{}, known: map[Key]time.Time{},
 	}
 }
 
@@ -95,6 +98,12 @@
 		kp.fill(now, ac.key, ac.account)
 	}
 	kp.limits = limits
+	for ky := range limits {
+		if kp.known[ky].IsZero() {
+			kp.known[ky] = now
+		}
+	}
+	maps.DeleteFunc(kp.known, func(ky Key, _ time.Time) bool { _, known := limits[ky]; return !known })
 	maps.DeleteFunc(kp.rows, func(ky Key, _ *account) bool { _, known := limits[ky]; return !known })
 	for ky, ac := range kp.rows {
 		ac.level = min(ac.level, kp.most(ky))
@@ -107,6 +116,10 @@
 		kp.fleet++
 	}
 	kp.members[node] = now
+	if now.Sub(kp.heardAt) > touchHold {
+		kp.since = now
+	}
+	kp.heardAt = now
 	var out []Grant
 	for _, ln := range lines {
 		if _, known := kp.limits[ln.Key]; known {
@@ -136,11 +149,19 @@
 	ac.level -= amount - guests
 }
 
-// account returns the bucket of a row; a new one is empty, as an earlier keeper may have spent all.
+// account returns the bucket of a row. A new one has filled since the row came and nodes began to report here;
+// before that another keeper may have spent all.
 func (kp *Keeper) account(now time.Time, ky Key) *account {
 	ac := kp.rows[ky]
 	if ac == nil {
-		ac = &account{at: now, holders: map[gypsumhoist.Instance]*holder{}}
+		at := kp.since
+		if kp.known[ky].After(at) {
+			at = kp.known[ky]
+		}
+		if kp.since.IsZero() {
+			at = now
+		}
+		ac = &account{at: at, holders: map[gypsumhoist.Instance]*holder{}}
 		kp.rows[ky] = ac
 	}
 	return ac
