--- /dev/null
+++ b/allocator/report.go
@@ -0,0 +1,148 @@
+package allocator
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/gypsumhoist/gypsumhoist"
+)
+
+// hurry has the loop report soon.
+func (al *Allocator) hurry() { nudge(al.urgent) }
+
+func nudge(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// run reports to the keeper from time to time, and soon when a request lacks a token.
+func (al *Allocator) run() error {
+	tick, round := time.NewTicker(fetchEvery), 0
+	defer tick.Stop()
+	for {
+		select {
+		case <-al.tmb.Dying():
+			return nil
+		case <-tick.C:
+			al.fetch()
+			round++
+			if round%reportRounds != 0 {
+				continue
+			}
+			al.forget()
+		case <-al.needy:
+			al.fetch()
+		case <-al.urgent:
+		}
+		al.report()
+		select {
+		case <-al.tmb.Dying():
+			return nil
+		case <-time.After(urgentPause):
+		}
+	}
+}
+
+// report asks the first keeper that answers for tokens.
+func (al *Allocator) report() {
+	asked := al.now()
+	lines := al.lines(asked)
+	before := al.inTouch(asked)
+	for _, mb := range al.candidates() {
+		grants, err := al.reportTo(mb, lines)
+		if err != nil {
+			al.shun(mb.Instance, err)
+			continue
+		}
+		al.chose(mb.Instance)
+		al.put(asked, grants)
+		if !before {
+			al.log.Log(eventLeased, "keeper", mb.Instance)
+		}
+		return
+	}
+	if before && !al.inTouch(al.now()) {
+		al.log.Log(eventStandby, "nodes", al.nodes.Load())
+	}
+}
+
+func (al *Allocator) lines(now time.Duration) []Line {
+	var out []Line
+	for ky, ps := range *al.purses.Load() {
+		if ln, active := ps.line(now); active {
+			ln.Key = ky
+			out = append(out, ln)
+		}
+	}
+	slices.SortFunc(out, func(la, lb Line) int { return compareKeys(la.Key, lb.Key) })
+	return out
+}
+
+// put hands tokens to the purses and wakes the requests that wait for them.
+func (al *Allocator) put(asked time.Duration, grants []Grant) {
+	purses := *al.purses.Load()
+	for _, gr := range grants {
+		if ps := purses[gr.Key]; ps != nil {
+			ps.put(gr, asked)
+		}
+	}
+	al.answered.Store(int64(max(asked, 1)))
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	close(al.news)
+	al.news = make(chan struct{})
+}
+
+// candidates returns the nodes of the domain that may be its keeper, the one to ask first before the others.
+func (al *Allocator) candidates() []Member {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	return al.keepers(al.domain, candidatesMost)
+}
+
+// candidatesMost is how many nodes are asked, one after the other, when the first does not answer.
+const candidatesMost = 2
+
+// keepers returns the first nodes of a domain in the order in which they are its keeper. The lock is held.
+func (al *Allocator) keepers(domain gypsumhoist.FailureDomain, most int) []Member {
+	now := time.Now()
+	var out []Member
+	for _, mb := range al.members {
+		if mb.Domain == domain && mb.Alive && !now.Before(al.avoid[mb.Instance]) {
+			out = append(out, mb)
+		}
+	}
+	slices.SortFunc(out, func(ma, mb Member) int {
+		return cmp.Or(cmp.Compare(rank(ma.Instance), rank(mb.Instance)), cmp.Compare(ma.Instance, mb.Instance))
+	})
+	return out[:min(len(out), most)]
+}
+
+func rank(in gypsumhoist.Instance) uint64 {
+	hs := fnv.New64a()
+	// A hash never fails.
+	_, _ = hs.Write([]byte(in))
+	return hs.Sum64() * 0x9e3779b97f4a7c15
+}
+
+// shun leaves a keeper out for a while.
+func (al *Allocator) shun(in gypsumhoist.Instance, err error) {
+	al.log.Log(eventKeeperLost, "keeper", in, "err", err)
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	al.avoid[in] = time.Now().Add(avoidFor)
+}
+
+func (al *Allocator) chose(in gypsumhoist.Instance) {
+	al.mu.Lock()
+	changed := al.last != in
+	al.last = in
+	al.mu.Unlock()
+	if changed {
+		al.log.Log(eventKeeper, "keeper", in)
+	}
+}
