forwarder: an answer that is not whole at its deadline is refused for the deadline

Cause: an answer of which the head had come and the end not, by the deadline, was refused with the reason connection, 503 instead of 504; on the platform 502. Ruled out: the outcome for routing, which goes by the attempt's own end and is as before. Measured: go test ./forwarder ./platform, green.

--- a/forwarder/growth_test.go
+++ b/forwarder/growth_test.go
@@ -47,6 +47,26 @@
 	}))
 })
 
+// halfTillDeadline begins an answer in time and ends it never.
+func halfTillDeadline(wr http.ResponseWriter, req *http.Request) {
+	wr.Header().Set("Content-Length", "8")
+	_, _ = io.WriteString(wr, "too")
+	_ = http.NewResponseController(wr).Flush()
+	<-req.Context().Done()
+}
+
+var _ = Describe("a short answer whose deadline passes between its head and its end", func() {
+	It("becomes a whole refusal, not a connection that breaks off", inFleet(func(fl *fleet) {
+		fl.add("slips-1", halfTillDeadline)
+		entry := fl.add("roster-1", say(""))
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips", Deadline: 200 * time.Millisecond})
+		rs, body, err := fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, fl.grant("kingston"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rs.StatusCode).To(Equal(http.StatusGatewayTimeout), body)
+		Expect(body).NotTo(HavePrefix("too"))
+	}))
+})
+
 var _ = Describe("a row with a split", func() {
 	It("shares its requests by weight, also few of them", inFleet(func(fl *fleet) {
 		one, two := fl.add("rolls-1", say("rolls")), fl.add("fees-1", say("fees"))
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -75,11 +77,15 @@
 	return ahead.Bytes(), whole, nil
 }
 
-// cutShort is the refusal of a request whose answer began and broke off.
+// cutShort is the refusal of a request whose answer began and broke off, or was not whole at its deadline.
 func cutShort(err error) *gypsumhoist.Refusal {
-	return &gypsumhoist.Refusal{
-		Verdict: gypsumhoist.VerdictMayHaveRun, Reason: gypsumhoist.ReasonConnection,
-		Detail: fmt.Sprintf("the upstream's answer broke off: %v", err),
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return gypsumhoist.MayHaveRun(gypsumhoist.ReasonDeadline, "the deadline passed before the upstream's answer was whole")
+	case errors.Is(err, context.Canceled):
+		return gypsumhoist.MayHaveRun(gypsumhoist.ReasonCanceled, "the caller went away")
+	default:
+		return gypsumhoist.MayHaveRun(gypsumhoist.ReasonConnection, fmt.Sprintf("the upstream's answer broke off: %v", err))
 	}
 }
 
