cmd, connector: logs on standard output; what libraries log becomes events

Cause: the program logged to standard error, and net/http's own lines ('Unsolicited response received on idle HTTP channel') came unstructured between the events.

--- a/cmd/gypsumhoist/serve.go
+++ b/cmd/gypsumhoist/serve.go
@@ -8,7 +8,9 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/loader"
+	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/server"
 )
 
@@ -23,7 +25,10 @@
 	if err != nil {
 		return err
 	}
-	sv := server.New(st, server.WithLog(os.Stderr))
+	lines := logger.NewQueue(os.Stdout)
+	defer lines.Stop()
+	sv := server.New(st, server.WithLog(lines))
+	connector.TakeStandardLog(sv.Logger())
 	if err := sv.Start(); err != nil {
 		return err
 	}
--- a/connector/event.go
+++ b/connector/event.go
@@ -8,7 +8,7 @@
 	eventProbeFailed = logger.Define(1101, logger.LevelWarn, "upstream_probe_failed",
 		"Requests to an upstream brought no byte and a fresh connection was not answered either: the upstream hangs or is cut off.")
 	eventConnFailed = logger.Define(1103, logger.LevelInfo, "connection_failed",
-		"The HTTP server closed a connection after an error, such as a client that went silent.")
+		"A connection was closed after an error: by the server, such as for a client that went silent, or to an upstream that wrote without being asked.")
 	eventServeFailed = logger.Define(1102, logger.LevelError, "listener_failed",
 		"A port no longer accepts connections; restart the process.")
 )
