allocator: the order of keepers and the part that is heard are computed once

Each report, up to 125 a second, and each look at what the domain lacks went through all nodes of the fleet and sorted a domain's by hashes made anew in each comparison; the keeper counted the nodes that it hears anew for each row of each report. Change: the order is made as the nodes change, the part once for each call; other domains' keepers are looked up only when something is lacking.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,7 +72,7 @@
 
 	mu      sync.Mutex
 	keeper  *Keeper
-	members []Member
+	members map[gypsumhoist.FailureDomain][]Member // in the order in which they are their domain's keeper
 	limits  map[Key]Limit
 	avoid   map[gypsumhoist.Instance]time.Time
 	last    gypsumhoist.Instance
@@ -149,16 +148,15 @@
 
 // SetMembers takes all nodes that have not left, this one too.
 func (al *Allocator) SetMembers(members []Member) {
+	domains := inOrder(members)
 	var own []gypsumhoist.Instance
-	for _, mb := range members {
-		if mb.Domain == al.domain {
-			own = append(own, mb.Instance)
-		}
+	for _, mb := range domains[al.domain] {
+		own = append(own, mb.Instance)
 	}
 	al.nodes.Store(int64(max(len(members), 1)))
 	al.mu.Lock()
 	defer al.mu.Unlock()
-	al.members = slices.Clone(members)
+	al.members = domains
 	al.keeper.SetMembers(own, len(members))
 }
 
--- a/allocator/call.go
+++ b/allocator/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"net/http"
 	"slices"
@@ -108,15 +109,11 @@
 	}
 	lacking := al.keeper.Lacking(clocker.Now())
 	var others []Member
-	seen := map[gypsumhoist.FailureDomain]bool{al.domain: true}
-	for _, mb := range al.members {
-		if !seen[mb.Domain] {
-			seen[mb.Domain] = true
-			others = append(others, al.keepers(mb.Domain, 1)...)
-		}
+	if len(lacking) > 0 {
+		others = al.otherKeepers()
 	}
 	al.mu.Unlock()
-	if len(lacking) == 0 || len(others) == 0 {
+	if len(others) == 0 {
 		return
 	}
 	for ix := range lacking {
@@ -130,6 +127,17 @@
 	}
 }
 
+// otherKeepers returns the keepers of all other domains. The lock is held.
+func (al *Allocator) otherKeepers() []Member {
+	var out []Member
+	for _, domain := range slices.Sorted(maps.Keys(al.members)) {
+		if domain != al.domain {
+			out = append(out, al.keepers(domain, 1)...)
+		}
+	}
+	return out
+}
+
 func (al *Allocator) fetchFrom(mb Member, lacking []Grant) {
 	ctx, cancel := context.WithTimeout(al.tmb.Context(nil), reportTime)
 	defer cancel()
--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -94,8 +94,9 @@
 
 // SetLimits takes the limits of all rows. Rows that are missing are forgotten; what a lower limit does not allow is dropped.
 func (kp *Keeper) SetLimits(now time.Time, limits map[Key]Limit) {
+	mt := kp.at(now)
 	for _, ac := range kp.accounts() {
-		kp.fill(now, ac.key, ac.account)
+		kp.fill(mt, ac.key, ac.account)
 	}
 	kp.limits = limits
 	for ky := range limits {
@@ -120,26 +121,27 @@
 		kp.since = now
 	}
 	kp.heardAt = now
+	mt := kp.at(now)
 	var out []Grant
 	for _, ln := range lines {
 		if _, known := kp.limits[ln.Key]; known {
-			out = append(out, kp.grant(now, node, ln))
+			out = append(out, kp.grant(mt, node, ln))
 		}
 	}
 	return out
 }
 
-func (kp *Keeper) grant(now time.Time, node gypsumhoist.Instance, ln Line) Grant {
-	ac := kp.account(now, ln.Key)
+func (kp *Keeper) grant(mt moment, node gypsumhoist.Instance, ln Line) Grant {
+	ac := kp.account(mt.now, ln.Key)
 	delete(ac.holders, node)
-	kp.fill(now, ln.Key, ac)
-	ac.level = min(ac.level+float64(ln.Returned), max(kp.most(ln.Key)-ac.out(now), ac.level))
+	kp.fill(mt, ln.Key, ac)
+	ac.level = min(ac.level+float64(ln.Returned), max(kp.most(ln.Key)-ac.out(mt.now), ac.level))
 	wanted := ln.Waiting + max(room(ln.Demand)-ln.Holds, 0)
 	amount := min(wanted, int64(ac.level+ac.guests))
 	ac.take(float64(amount))
 	ac.short += max(ln.Waiting-amount, 0)
-	ac.holders[node] = &holder{holds: ln.Holds + amount, demand: ln.Demand, at: now}
-	return Grant{Key: ln.Key, Amount: amount, Dry: amount < wanted && (len(kp.members) == kp.fleet || now.Before(kp.vainUntil))}
+	ac.holders[node] = &holder{holds: ln.Holds + amount, demand: ln.Demand, at: mt.now}
+	return Grant{Key: ln.Key, Amount: amount, Dry: amount < wanted && (len(kp.members) == kp.fleet || mt.now.Before(kp.vainUntil))}
 }
 
 // take moves tokens out of a bucket that holds them.
@@ -168,27 +170,36 @@
 }
 
 // fill lets a bucket grow by what the domain's part of the rate has brought.
-func (kp *Keeper) fill(now time.Time, ky Key, ac *account) {
-	passed := now.Sub(ac.at).Seconds()
-	ac.at = now
+func (kp *Keeper) fill(mt moment, ky Key, ac *account) {
+	passed := mt.now.Sub(ac.at).Seconds()
+	ac.at = mt.now
 	if passed <= 0 {
 		return
 	}
-	room := kp.most(ky) - ac.out(now) - ac.level
-	ac.level += max(min(kp.rate(now, ky)*passed, room), 0)
+	room := kp.most(ky) - ac.out(mt.now) - ac.level
+	ac.level += max(min(kp.rate(mt, ky)*passed, room), 0)
 }
 
-// rate returns the rate at which the domain's bucket fills: its part, less the parts of the nodes that it does not hear.
-func (kp *Keeper) rate(now time.Time, ky Key) float64 {
+// moment is a time with what holds for all rows then.
+type moment struct {
+	now time.Time
+	// part is the part of every rate at which the domain's buckets fill: that of the nodes that it hears.
+	part float64
+}
+
+func (kp *Keeper) at(now time.Time) moment {
 	heard := 0
 	for _, at := range kp.members {
 		if !at.IsZero() && now.Sub(at) < touchHold {
 			heard++
 		}
 	}
-	return kp.limits[ky].Rate * float64(heard) / float64(kp.fleet)
+	return moment{now: now, part: float64(heard) / float64(kp.fleet)}
 }
 
+// rate returns the rate at which the domain's bucket fills.
+func (kp *Keeper) rate(mt moment, ky Key) float64 { return kp.limits[ky].Rate * mt.part }
+
 // most returns the domain's part of a burst, one token at least.
 func (kp *Keeper) most(ky Key) float64 {
 	return max(kp.limits[ky].Burst*float64(len(kp.members))/float64(kp.fleet), 1)
@@ -229,10 +240,11 @@
 // Lacking returns, in order of the rows' names, how many tokens the domain lacks: those that requests wait for, and what its
 // demand of a while exceeds its part of the rate.
 func (kp *Keeper) Lacking(now time.Time) []Grant {
+	mt := kp.at(now)
 	var out []Grant
 	for _, na := range kp.accounts() {
-		kp.fill(now, na.key, na.account)
-		beyond := (float64(na.demand()) - kp.rate(now, na.key)) * lackSpan.Seconds()
+		kp.fill(mt, na.key, na.account)
+		beyond := (float64(na.demand()) - kp.rate(mt, na.key)) * lackSpan.Seconds()
 		lacks := na.short + int64(max(beyond-na.level-na.guests, 0))
 		na.short = 0
 		if lacks > 0 {
@@ -260,13 +272,14 @@
 
 // Give returns the tokens that this domain gives another one; they are gone here at once.
 func (kp *Keeper) Give(now time.Time, lacking []Grant) []Grant {
+	mt := kp.at(now)
 	var out []Grant
 	for _, la := range lacking {
 		if _, known := kp.limits[la.Key]; !known {
 			continue
 		}
 		ac := kp.account(now, la.Key)
-		kp.fill(now, la.Key, ac)
+		kp.fill(mt, la.Key, ac)
 		spare := ac.level + ac.guests - float64(ac.demand())*ownSpan.Seconds()
 		amount := max(min(la.Amount, int64(spare)), 0)
 		ac.take(float64(amount))
@@ -280,10 +293,11 @@
 
 // Receive takes in tokens of another domain.
 func (kp *Keeper) Receive(now time.Time, given []Grant) {
+	mt := kp.at(now)
 	for _, gr := range given {
 		if _, known := kp.limits[gr.Key]; known {
 			ac := kp.account(now, gr.Key)
-			kp.fill(now, gr.Key, ac)
+			kp.fill(mt, gr.Key, ac)
 			ac.guests = min(ac.guests+float64(gr.Amount), kp.limits[gr.Key].Burst)
 		}
 	}
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -111,15 +111,31 @@
 func (al *Allocator) keepers(domain gypsumhoist.FailureDomain, most int) []Member {
 	now := time.Now()
 	var out []Member
-	for _, mb := range al.members {
-		if mb.Domain == domain && mb.Alive && !now.Before(al.avoid[mb.Instance]) {
+	for _, mb := range al.members[domain] {
+		if len(out) == most {
+			break
+		}
+		if mb.Alive && !now.Before(al.avoid[mb.Instance]) {
 			out = append(out, mb)
 		}
 	}
-	slices.SortFunc(out, func(ma, mb Member) int {
-		return cmp.Or(cmp.Compare(rank(ma.Instance), rank(mb.Instance)), cmp.Compare(ma.Instance, mb.Instance))
-	})
-	return out[:min(len(out), most)]
+	return out
+}
+
+// inOrder returns the nodes of each domain in the order in which they are its keeper.
+func inOrder(members []Member) map[gypsumhoist.FailureDomain][]Member {
+	ranks := make(map[gypsumhoist.Instance]uint64, len(members))
+	out := map[gypsumhoist.FailureDomain][]Member{}
+	for _, mb := range members {
+		ranks[mb.Instance] = rank(mb.Instance)
+		out[mb.Domain] = append(out[mb.Domain], mb)
+	}
+	for _, domain := range out {
+		slices.SortFunc(domain, func(ma, mb Member) int {
+			return cmp.Or(cmp.Compare(ranks[ma.Instance], ranks[mb.Instance]), cmp.Compare(ma.Instance, mb.Instance))
+		})
+	}
+	return out
 }
 
 func rank(in gypsumhoist.Instance) uint64 {
