--- a/forwarder/claim.go
+++ b/forwarder/claim.go
@@ -71,13 +71,13 @@
 		fw.refuse(wr, cl, "forwarder", rf)
 		return
 	}
-	kept, whole, rf := rp.takeIn(claimer.MaxAnswerSize)
+	kept, rf := rp.takeIn(claimer.MaxAnswerSize)
 	if rf != nil {
 		fw.settleRefusal(cl, gr, rf)
 		fw.refuse(wr, cl, "forwarder", rf)
 		return
 	}
-	fw.settleAnswer(cl, gr, rp, kept, whole)
+	fw.settleAnswer(cl, gr, rp, kept)
 	fw.answer(wr, cl, rp)
 }
 
@@ -96,10 +96,10 @@
 
 // settleAnswer stores an answer before the caller gets its first byte,
 // so that whoever has seen the answer finds it again. One too long to keep is stored as having run.
-func (fw *Forwarder) settleAnswer(cl *call, gr claimer.Granted, rp *reply, kept []byte, whole bool) {
+func (fw *Forwarder) settleAnswer(cl *call, gr claimer.Granted, rp *reply, kept []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
-	if !whole {
+	if !rp.whole {
 		fw.settled(cl, fw.claimer.Ran(ctx, gr))
 		return
 	}
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -43,38 +43,37 @@
 		return nil
 	}
 	if size >= 0 {
-		_, _, rf := rp.takeIn(size)
+		_, rf := rp.takeIn(size)
 		return rf
 	}
 	if !unframed(rp.rs) && rp.rs.StatusCode < http.StatusBadRequest {
 		return nil
 	}
-	ahead, whole, rf := rp.takeIn(prefetchBytes)
-	if rf == nil && whole {
+	ahead, rf := rp.takeIn(prefetchBytes)
+	if rf == nil && rp.whole {
 		rp.rs.ContentLength = int64(len(ahead))
 	}
 	return rf
 }
 
-// takeIn reads up to size bytes of an answer ahead and returns them.
-// The second result tells whether they are the whole answer.
+// takeIn reads up to size bytes of an answer ahead and returns them; whole tells from then on whether they are all of it.
 // A refusal means that the answer broke off; the reply has ended then.
-func (rp *reply) takeIn(size int64) ([]byte, bool, *gypsumhoist.Refusal) {
+func (rp *reply) takeIn(size int64) ([]byte, *gypsumhoist.Refusal) {
 	var ahead bytes.Buffer
 	ahead.Grow(int(min(max(rp.rs.ContentLength, 0), size)) + bytes.MinRead)
 	if _, err := ahead.ReadFrom(io.LimitReader(rp.rs.Body, size+1)); err != nil {
 		rp.end(err)
-		return nil, false, cutShort(err)
+		return nil, cutShort(err)
 	}
-	rest, whole := rp.rs.Body, int64(ahead.Len()) <= size
-	rp.whole = whole
+	rest := rp.rs.Body
+	rp.whole = int64(ahead.Len()) <= size
 	var all io.Reader = bytes.NewReader(ahead.Bytes())
-	if !whole {
+	if !rp.whole {
 		all = io.MultiReader(all, rest)
 	}
 	// What is whole is not read again: its end is known, and asking again may fail once the deadline has passed.
 	rp.rs.Body = &stream{Reader: all, Closer: rest}
-	return ahead.Bytes(), whole, nil
+	return ahead.Bytes(), nil
 }
 
 // cutShort is the refusal of a request whose answer began and broke off, or was not whole at its deadline.
--- a/limiter/keeper_table.go
+++ b/limiter/keeper_table.go
@@ -42,17 +42,15 @@
 
 // setDesks tells the node's rows their shares.
 func (kp *keeper) setDesks(tb *Table) {
-	keep := make(map[RowKey]bool, len(tb.Rows))
 	entries := make(map[RowKey]Entry, len(tb.Rows))
 	keys := make([]RowKey, 0, len(tb.Rows))
 	for _, en := range tb.Rows {
 		rk := KeyOf(en.Row)
-		keep[rk] = true
 		entries[rk] = en
 		keys = append(keys, rk)
 	}
 	kp.lm.addDesks(keys)
-	kp.lm.dropDesks(keep)
+	kp.lm.dropDesks(entries)
 	now := time.Now()
 	for rk, dk := range *kp.lm.desks.Load() {
 		sh := kp.plan.Share(rk)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -115,10 +115,13 @@
 }
 
 // dropDesks forgets rows that the table no longer has.
-func (lm *Limiter) dropDesks(keep map[RowKey]bool) {
+func (lm *Limiter) dropDesks(keep map[RowKey]Entry) {
 	lm.deskMu.Lock()
 	defer lm.deskMu.Unlock()
 	fresh := maps.Clone(*lm.desks.Load())
-	maps.DeleteFunc(fresh, func(rk RowKey, dk *desk) bool { return !keep[rk] && dk.idle() })
+	maps.DeleteFunc(fresh, func(rk RowKey, dk *desk) bool {
+		_, kept := keep[rk]
+		return !kept && dk.idle()
+	})
 	lm.desks.Store(&fresh)
 }
--- a/registrar/routes.go
+++ b/registrar/routes.go
@@ -32,7 +32,8 @@
 	if len(rs.byHost) == 0 {
 		return rs.any.find(path)
 	}
-	host = lowerHost(host)
+	// A host that is in lower case already costs no allocation.
+	host = strings.ToLower(host)
 	if ps := rs.byHost[host]; ps != nil {
 		if rw, ok := ps.find(path); ok {
 			return rw, true
@@ -48,9 +49,6 @@
 	return rs.any.find(path)
 }
 
-// lowerHost returns a host in lower case; one that is so already costs no allocation.
-func lowerHost(host string) string { return strings.ToLower(host) }
-
 // paths finds the row with the longest path that is a prefix of another path.
 type paths struct {
 	byPath  map[string]*Row
--- a/registrar/sheet.go
+++ b/registrar/sheet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"maps"
@@ -46,14 +47,7 @@
 // find returns what is remembered of a version, or nil.
 func (sh *sheet) find(version uint64) *acceptedSheet {
 	at, found := slices.BinarySearchFunc(sh.accepted, version, func(as acceptedSheet, vr uint64) int {
-		switch {
-		case as.version < vr:
-			return -1
-		case as.version > vr:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(as.version, vr)
 	})
 	if !found {
 		return nil
@@ -199,7 +193,7 @@
 	var losers []gypsumhoist.Workspace
 	for id, old := range sorted(st.all.grants) {
 		gr, stays := grants[id]
-		if stays && gr.Workspace == old.grant.Workspace && gr.Hash == old.grant.Hash {
+		if stays && old.serves(gr) {
 			continue
 		}
 		losers = append(losers, old.grant.Workspace)
@@ -208,8 +202,7 @@
 		}
 	}
 	for id, gr := range sorted(grants) {
-		old := st.all.grants[id]
-		if old != nil && gr.Workspace == old.grant.Workspace && gr.Hash == old.grant.Hash {
+		if old := st.all.grants[id]; old != nil && old.serves(gr) {
 			continue
 		}
 		gr.Granted = wallClock(proposed)
@@ -219,6 +212,11 @@
 	return slices.Compact(losers)
 }
 
+// serves reports whether a granted key is the same one, for the same workspace, whenever it was granted.
+func (ge *grantEntry) serves(gr KeyGrant) bool {
+	return gr.Workspace == ge.grant.Workspace && gr.Hash == ge.grant.Hash
+}
+
 func replaceMessage(cd Replace) *registrarpb.Replace {
 	ms := &registrarpb.Replace{Version: cd.Version, Base: cd.Base, Digest: cd.Digest[:], Document: cd.Document, KeepGrants: cd.KeepGrants}
 	for _, rw := range cd.Rows {
