server, hasher: one wait for signals, one list of spenders, one finalizer

Which nodes may spend and which rows are bounded was asked in two and three places. claimer and gossiper had the same finalizer.

--- a/claimer/home.go
+++ b/claimer/home.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/hasher"
 )
 
 // Home returns the failure domain that keeps a key's claim.
@@ -34,16 +35,7 @@
 		_, _ = sum.Write([]byte(pt))
 		_, _ = sum.Write([]byte{0})
 	}
-	return mix(sum.Sum64())
-}
-
-// mix spreads the bits of a hash, as FNV leaves those of short inputs close together.
-func mix(hash uint64) uint64 {
-	hash ^= hash >> 33
-	hash *= 0xff51afd7ed558ccd
-	hash ^= hash >> 33
-	hash *= 0xc4ceb9fe1a85ec53
-	return hash ^ hash>>33
+	return hasher.Mix(sum.Sum64())
 }
 
 // placement is the set of domains that homes are taken from.
--- a/cmd/gypsumhoist/serve.go
+++ b/cmd/gypsumhoist/serve.go
@@ -33,22 +33,11 @@
 		return err
 	}
 	sig := make(chan os.Signal, 2)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	for stop := false; !stop; {
-		select {
-		case <-sig:
-			stop = true
-		case <-hup:
-			// A file with faults is logged, and changes nothing.
-			_ = sv.Reload(cmd.Settings)
-		case <-sv.Dead():
-			return errors.New("the process has stopped by itself; its log says why")
-		}
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if err := sv.Wait(sig, cmd.Settings); err != nil {
+		return err
 	}
-	// signal.NotifyContext takes over: a second signal ends the stop at once.
-	signal.Stop(sig)
+	// A second signal ends the stop at once; SIGHUP stays caught, as it must not end the process.
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	return sv.Stop(ctx)
--- a/gossiper/ring.go
+++ b/gossiper/ring.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/hasher"
 )
 
 func newRecord(mb Member, now time.Time) *record {
@@ -20,7 +21,7 @@
 	hs := fnv.New64a()
 	_, _ = hs.Write([]byte(in))
 	// The last bytes of fnv alone hardly reach the high bits.
-	return mix(hs.Sum64())
+	return hasher.Mix(hs.Sum64())
 }
 
 // sumOf returns the part of a record in digests. Hints don't count, and a suspect is as good as alive.
@@ -33,16 +34,7 @@
 	}
 	_, _ = hs.Write([]byte(mb.Instance))
 	_, _ = hs.Write(buf[:])
-	return mix(hs.Sum64())
-}
-
-// mix spreads each bit over the whole word (the finalizer of MurmurHash3).
-func mix(val uint64) uint64 {
-	val ^= val >> 33
-	val *= 0xff51afd7ed558ccd
-	val ^= val >> 33
-	val *= 0xc4ceb9fe1a85ec53
-	return val ^ val>>33
+	return hasher.Mix(hs.Sum64())
 }
 
 func byOrder(ra, rb *record) int {
--- a/gossiper/rumor.go
+++ b/gossiper/rumor.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/hasher"
 )
 
 type rumorKey struct{ topic, key string }
@@ -85,7 +86,7 @@
 	for _, part := range [][]byte{[]byte(rm.Topic), {0}, []byte(rm.Key), {0}, buf[:], rm.Payload} {
 		_, _ = hs.Write(part)
 	}
-	return mix(hs.Sum64())
+	return hasher.Mix(hs.Sum64())
 }
 
 func (cr *Core) rumorSum() uint64 {
--- a/server/allotted.go
+++ b/server/allotted.go
@@ -19,23 +19,12 @@
 }
 
 // take hands over the rows that bound anything.
-func (at *allotted) take(tb *registrar.Table) {
-	var rows []*registrar.Row
-	for _, rw := range tb.Rows() {
-		if rw.Bounded() {
-			rows = append(rows, rw)
-		}
-	}
-	at.allocator.SetRows(rows)
-}
+func (at *allotted) take(tb *registrar.Table) { at.allocator.SetRows(boundedRows(tb)) }
 
 // look hands over the nodes that have not left.
 func (at *allotted) look(vw *gossiper.View) {
 	var mbs []allocator.Member
-	for _, mb := range vw.Members() {
-		if !mb.Roles.Has(gossiper.RoleNode) || mb.Status == gossiper.StatusLeft {
-			continue
-		}
+	for _, mb := range spenders(vw) {
 		mbs = append(mbs, allocator.Member{
 			Instance: mb.Instance, Domain: mb.Domain, Peer: mb.Peer, Alive: mb.Status == gossiper.StatusAlive && !mb.Leaving,
 		})
--- a/server/groups.go
+++ b/server/groups.go
@@ -122,10 +122,7 @@
 	tb := sv.spreader.Holder().Current()
 	domains := domainsOf(tb)
 	out := []RowWarning{}
-	for _, rw := range tb.Rows() {
-		if !rw.Bounded() {
-			continue
-		}
+	for _, rw := range boundedRows(tb) {
 		if wns := limiter.Warnings(rw, domains); len(wns) > 0 {
 			out = append(out, RowWarning{Workspace: rw.Workspace, Route: rw.Route, Warnings: wns})
 		}
--- a/server/limits.go
+++ b/server/limits.go
@@ -52,19 +52,36 @@
 	lt.sv.tmb.Go(lt.loop)
 }
 
-// look counts the nodes, those that can't be reached too, as they may go on spending.
+// look counts the nodes that may spend.
 func (lt *limits) look(vw *gossiper.View) {
 	if !lt.sv.settings.Rates.Standby {
 		return
 	}
-	count := 0
+	count := len(spenders(vw))
+	lt.nodes.Store(int64(count))
+	lt.limiter.SetNodes(count)
+}
+
+// spenders returns the nodes that have not left, those that can't be reached too, as they may go on spending.
+func spenders(vw *gossiper.View) []gossiper.Member {
+	var out []gossiper.Member
 	for _, mb := range vw.Members() {
 		if mb.Roles.Has(gossiper.RoleNode) && mb.Status != gossiper.StatusLeft {
-			count++
+			out = append(out, mb)
 		}
 	}
-	lt.nodes.Store(int64(count))
-	lt.limiter.SetNodes(count)
+	return out
+}
+
+// boundedRows returns the rows that have a rate and a burst.
+func boundedRows(tb *registrar.Table) []*registrar.Row {
+	var out []*registrar.Row
+	for _, rw := range tb.Rows() {
+		if rw.Bounded() {
+			out = append(out, rw)
+		}
+	}
+	return out
 }
 
 // loop hands the limiter the table, how old it is and how far it is in force.
@@ -104,10 +121,7 @@
 	if age != registrar.AgeUnknown {
 		out.AsOf = now.Add(-age)
 	}
-	for _, rw := range tb.Rows() {
-		if !rw.Bounded() {
-			continue
-		}
+	for _, rw := range boundedRows(tb) {
 		out.Rows = append(out.Rows, limiter.Entry{Row: rw})
 	}
 	return out
--- a/server/reloading.go
+++ b/server/reloading.go
@@ -1,7 +1,10 @@
 package server
 
 import (
+	"errors"
+	"os"
 	"slices"
+	"syscall"
 
 	"github.com/gypsumhoist/gypsumhoist/loader"
 	"github.com/gypsumhoist/gypsumhoist/logger"
@@ -25,3 +28,23 @@
 	sv.logger.Log(eventReloaded, "file", path, "seeds_changed", !slices.Equal(st.Peers.Seeds, sv.settings.Peers.Seeds))
 	return nil
 }
+
+// errDead is what a process ends with that has stopped by itself.
+var errDead = errors.New("the process has stopped by itself; its log says why")
+
+// Wait reads the settings anew from a file at each SIGHUP, and returns at the first other signal, or with an error when
+// the process has stopped by itself.
+func (sv *Server) Wait(sig <-chan os.Signal, path string) error {
+	for {
+		select {
+		case <-sv.Dead():
+			return errDead
+		case got := <-sig:
+			if got != syscall.SIGHUP {
+				return nil
+			}
+			// A file with faults is logged, and changes nothing.
+			_ = sv.Reload(path)
+		}
+	}
+}
