connector: a closed peer pool leaves no connection

Cause: the pool closed idle connections only. A call that had just been given up was still in use for the transport, so its connection stayed, and with the other end silent for good nothing ended it. The emulated network kept connections that a closed listener had not accepted, where TCP resets them.

Ruled out: the upstream pool and plain nodes (HTTP/1.1 connections of calls that were given up are closed by the transport), a dial on its way (the transport ends it with its call; tried, a test of it passed without a mend).

--- a/connector/emulator/host.go
+++ b/connector/emulator/host.go
@@ -94,7 +94,20 @@
 	}
 }
 
-func (ln *listener) shut() { ln.once.Do(func() { close(ln.closed) }) }
+// shut ends the listener and resets the connections that it did not accept. The network's lock is held.
+func (ln *listener) shut() {
+	ln.once.Do(func() { close(ln.closed) })
+	for {
+		select {
+		case cn := <-ln.queue:
+			cn.out.reset()
+			cn.in.reset()
+			delete(ln.host.network.conns, cn)
+		default:
+			return
+		}
+	}
+}
 
 // Accept implements net.Listener.
 func (ln *listener) Accept() (net.Conn, error) {
--- a/connector/peerpool.go
+++ b/connector/peerpool.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -18,6 +21,16 @@
 	config    config
 	transport *http.Transport
 	dials     *metrics.Counter
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[*peerConn]struct{}
+}
+
+// peerConn is a connection that its pool closes with itself.
+type peerConn struct {
+	net.Conn
+	pool *PeerPool
 }
 
 var (
@@ -27,7 +40,7 @@
 
 // NewPeerPool returns a pool without connections.
 func NewPeerPool(opts ...Option) *PeerPool {
-	pp := &PeerPool{config: newConfig(opts)}
+	pp := &PeerPool{config: newConfig(opts), conns: map[*peerConn]struct{}{}}
 	var protos http.Protocols
 	protos.SetUnencryptedHTTP2(true)
 	pp.transport = &http.Transport{
@@ -67,8 +80,18 @@
 // URL implements Peers.
 func (pp *PeerPool) URL(addr netip.AddrPort) string { return "http://" + addr.String() }
 
-// Close closes the connections that carry no request.
-func (pp *PeerPool) Close() { pp.transport.CloseIdleConnections() }
+// Close ends the requests that are on their way, closes all connections and refuses later requests.
+func (pp *PeerPool) Close() {
+	pp.mu.Lock()
+	pp.closed = true
+	open := slices.Collect(maps.Keys(pp.conns))
+	pp.mu.Unlock()
+	for _, pc := range open {
+		// The transport hears of it from its own read.
+		_ = pc.Close()
+	}
+	pp.transport.CloseIdleConnections()
+}
 
 func (pp *PeerPool) dial(ctx context.Context, _, addr string) (net.Conn, error) {
 	to, err := netip.ParseAddrPort(addr)
@@ -78,7 +101,32 @@
 	ctx, cancel := context.WithTimeout(ctx, pp.config.dialTimeout)
 	defer cancel()
 	pp.dials.Inc()
-	return pp.config.network.Dial(ctx, to)
+	cn, err := pp.config.network.Dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return pp.keep(cn)
+}
+
+// keep notes a new connection, or closes it where the pool is closed.
+func (pp *PeerPool) keep(cn net.Conn) (net.Conn, error) {
+	pp.mu.Lock()
+	defer pp.mu.Unlock()
+	if pp.closed {
+		_ = cn.Close()
+		return nil, net.ErrClosed
+	}
+	pc := &peerConn{Conn: cn, pool: pp}
+	pp.conns[pc] = struct{}{}
+	return pc, nil
+}
+
+// Close implements net.Conn.
+func (pc *peerConn) Close() error {
+	pc.pool.mu.Lock()
+	delete(pc.pool.conns, pc)
+	pc.pool.mu.Unlock()
+	return pc.Conn.Close()
 }
 
 // counter returns the named counter, one that nobody reads for a nil set.
