forwarder: a row's bound of attempts is looked at before a retry is drawn

Cause: after the last attempt that the row allows, the retrier was still asked; it drew a retry from the request's budget and from the row's ratio that was then not made, so that other requests of the row got fewer.

Before: the new spec sees "retrier: retry" in the record of a request with attempts = 1.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		sent++
-		if !fw.retry(key, cl, rf, len(tried)) || cl.row.Attempts > 0 && sent >= cl.row.Attempts {
+		if cl.row.Attempts > 0 && sent >= cl.row.Attempts || !fw.retry(key, cl, rf, len(tried)) {
 			return nil, last
 		}
 	}
--- a/forwarder/growth_test.go
+++ b/forwarder/growth_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -107,6 +108,23 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(runs(bad...)).To(Equal(2))
 	}))
+
+	It("count no retry against the row that its attempts leave no room for", inFleet(func(fl *fleet) {
+		fl.add("slips-1", hangUp)
+		fl.add("slips-2", hangUp)
+		entry := fl.add("roster-1", say(""))
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips", Retries: 5, Attempts: 1})
+		rs, _, err := fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, fl.grant("kingston"))
+		Expect(err).NotTo(HaveOccurred())
+		synctest.Wait() // the record is kept after the answer
+		rcs := entry.book.Find(gypsumhoist.RequestID(rs.Header.Get(gypsumhoist.HeaderRequest)))
+		Expect(rcs).To(HaveLen(1))
+		for _, rc := range rcs {
+			for _, st := range rc.Steps {
+				Expect(st.Duty).NotTo(Equal("retrier"), st.What)
+			}
+		}
+	}))
 })
 
 var _ = Describe("an old table", func() {
