forwarder: the feedback of short answers counts again, and load deep in a chain is heard at its entry

Cause: since short answers carry their feedback in the head only, the missing trailer was decoded too: an empty text is a valid empty message. So the end of every short answer from another node said: no load, no cut-off, no unspent retries, no refused call. Routers, forecasters and the throttler were blind but for answers of the own upstream. Besides, a refusal deep in a chain was noted at its parent only, not further up.

Both specs fail before: no early refusal of 60, and an empty feedback.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -33,6 +33,7 @@
 		cl.record.Note("router", "picked", string(pk.Upstream.Instance))
 		rp, rf := fw.send(ctx, req, cl, &pk, no)
 		if rf == nil {
+			cl.passOn(rp)
 			return rp, nil
 		}
 		cl.record.Note("forwarder", "attempt "+strconv.Itoa(int(no))+" failed: "+string(rf.Reason), rf.Detail)
@@ -49,6 +50,14 @@
 	}
 }
 
+// passOn tells the call that a nested call belongs to of a failure for too much load deeper down,
+// so that news of it reaches the entry of the chain however long that is.
+func (cl *call) passOn(rp *reply) {
+	if cl.parent != nil && rp.childRefused && rp.rs.StatusCode >= http.StatusInternalServerError {
+		cl.parent.NoteRefused()
+	}
+}
+
 // reroutesMax bounds how often a call goes on to another node after one that did not hand it to its upstream.
 const reroutesMax = 2
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -35,7 +35,7 @@
 		at.refused(rf, at.fw.feedback(at.hop, 0))
 		return nil, rf
 	}
-	rp := &reply{rs: rn.rs}
+	rp := &reply{rs: rn.rs, childRefused: rn.call.Refused()}
 	rp.done = func(err error) {
 		unspent := rn.end(err)
 		cancel()
@@ -71,7 +71,7 @@
 		_ = rs.Body.Close()
 		return nil, at.refused(refusalOf(fb), fb)
 	}
-	rp := &reply{rs: rs}
+	rp := &reply{rs: rs, childRefused: fb.GetChildRefused()}
 	rp.done = func(err error) { at.answered(rs, lastFeedback(rs, fb), err) }
 	return rp, nil
 }
@@ -153,10 +153,16 @@
 // lastFeedback returns what came at the end of an answer, or else what came with its head,
 // which says nothing of the budget.
 func lastFeedback(rs *http.Response, head *forwarderpb.Feedback) *forwarderpb.Feedback {
-	if fb, err := DecodeFeedback(rs.Trailer.Get(HeaderFeedback)); err == nil {
-		return fb
+	// An empty text is a valid message, but not one that was sent.
+	val := rs.Trailer.Get(HeaderFeedback)
+	if val == "" {
+		return head
 	}
-	return head
+	fb, err := DecodeFeedback(val)
+	if err != nil {
+		return head
+	}
+	return fb
 }
 
 func refusalOf(fb *forwarderpb.Feedback) *gypsumhoist.Refusal {
--- a/forwarder/export_test.go
+++ b/forwarder/export_test.go
@@ -11,3 +11,6 @@
 
 // Ranked is ranked for tests.
 var Ranked = ranked
+
+// LastFeedback is lastFeedback.
+var LastFeedback = lastFeedback
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/big"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -28,6 +29,7 @@
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 	"github.com/gypsumhoist/gypsumhoist/retrier"
 	"github.com/gypsumhoist/gypsumhoist/router"
+	"github.com/gypsumhoist/gypsumhoist/throttler"
 )
 
 const (
@@ -76,6 +78,8 @@
 	machine   *claimer.Machine
 	closers   []func()
 	claims    sync.Mutex
+	// throttles lets nodes that are added from now on refuse early by how requests end.
+	throttles bool
 }
 
 // inFleet runs a spec inside a synctest bubble with a fleet.
@@ -165,7 +169,12 @@
 	admit.SetSlots(20)
 	nd.rt = router.New(domain)
 	nd.book = explainer.New(100)
+	var early *throttler.Throttler
+	if fl.throttles {
+		early = throttler.New(mathrand.New(mathrand.NewPCG(1, uint64(len(fl.nodes)))))
+	}
 	nd.fw = forwarder.New(
+		forwarder.WithThrottler(early),
 		forwarder.WithInstance(name), forwarder.WithHolder(fl.tables), forwarder.WithRouter(nd.rt),
 		forwarder.WithRetrier(retrier.New()), forwarder.WithAdmitter(admit, admitter.NewForecaster()),
 		forwarder.WithClaimer(claims), forwarder.WithPeers(peers), forwarder.WithBook(nd.book),
--- a/forwarder/growth_test.go
+++ b/forwarder/growth_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/forwarder"
+	"github.com/gypsumhoist/gypsumhoist/forwarder/forwarderpb"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 )
 
@@ -153,3 +154,11 @@
 	Entry("routes of one workspace", gypsumhoist.Importance(80), gypsumhoist.Importance(90), gypsumhoist.Importance(80), gypsumhoist.Importance(70)),
 	Entry("workspaces ten apart", gypsumhoist.Importance(80), gypsumhoist.Importance(0), gypsumhoist.Importance(70), gypsumhoist.Importance(100)),
 )
+
+var _ = Describe("the feedback of a whole answer", func() {
+	It("is what came with its head, as no trailer follows", func() {
+		head := &forwarderpb.Feedback{Budget: 2, InFlight: 3, Limit: 4, CutOff: 50, ChildRefused: true}
+		Expect(forwarder.LastFeedback(&http.Response{}, head)).To(BeIdenticalTo(head))
+		Expect(forwarder.LastFeedback(&http.Response{Trailer: http.Header{forwarder.HeaderFeedback: nil}}, head)).To(BeIdenticalTo(head))
+	})
+})
--- a/forwarder/nested_test.go
+++ b/forwarder/nested_test.go
@@ -115,3 +115,38 @@
 		Expect(runs(deep)).To(BeZero())
 	}))
 })
+
+var _ = Describe("a failure for load at the end of a chain of calls", func() {
+	It("has the entry refuse early", inFleet(func(fl *fleet) {
+		fl.add("fees-1", func(wr http.ResponseWriter, _ *http.Request) {
+			wr.Header().Set(gypsumhoist.HeaderVerdict, gypsumhoist.VerdictNotRun.String())
+			wr.WriteHeader(http.StatusServiceUnavailable)
+		})
+		var rolls, slips *node
+		calls := func(from **node, path string) http.HandlerFunc {
+			return func(wr http.ResponseWriter, req *http.Request) {
+				if rs, _ := fl.nested(*from, "GET", path, req.Header.Get(gypsumhoist.HeaderCall)); rs.StatusCode != http.StatusOK {
+					wr.WriteHeader(http.StatusInternalServerError)
+				}
+			}
+		}
+		rolls = fl.add("rolls-1", calls(&rolls, "/fees"))
+		slips = fl.add("slips-1", calls(&slips, "/rolls"))
+		fl.throttles = true
+		entry := fl.add("roster-1", say(""))
+		for _, name := range []string{"slips", "rolls", "fees"} {
+			fl.row(registrar.Row{Workspace: "kingston", Route: "/" + name, Service: gypsumhoist.Service(name)})
+		}
+		key := fl.grant("kingston")
+		early := 0
+		for range 60 {
+			rs, _, err := fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, key)
+			Expect(err).NotTo(HaveOccurred())
+			if rs.Header.Get(gypsumhoist.HeaderReason) == string(gypsumhoist.ReasonOverload) {
+				early++
+			}
+		}
+		Expect(early).To(BeNumerically(">", 20))
+		Expect(runs(slips)).To(Equal(60 - early))
+	}))
+})
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -24,6 +24,8 @@
 	done func(error)
 	// whole tells that the whole answer has been taken in.
 	whole bool
+	// childRefused tells that a call of the upstream's own had been refused when the answer began.
+	childRefused bool
 }
 
 // end closes the answer and reports how it ended. Calls after the first do nothing.
