connector: pipelined requests run side by side

Cause: net/http runs the requests of one HTTP/1.1 connection one after the other. A client that sends the next before the first is answered waited for all before it; the row's time began when the node read it, so it was held past it.

A request that comes behind one that runs is handed to the server on a connection in memory; answers are written in order. What has a body or a head that can't be told apart for sure is read by the server itself, as before.

--- a/connector/options.go
+++ b/connector/options.go
@@ -46,6 +46,7 @@
 	maxHeaderBytes    int
 	maxStreams        int
 	peers             bool
+	pipelining        bool
 	answerCheck       func(*http.Request, *http.Response) error
 }
 
@@ -145,6 +146,10 @@
 // Only for ports that nobody but peers can reach.
 func WithPeerTraffic() Option { return func(cf *config) { cf.peers = true } }
 
+// WithPipelining has a Server run GET and HEAD requests that come behind others on an HTTP/1.1 connection side by side
+// with those, and answer them in their order.
+func WithPipelining() Option { return func(cf *config) { cf.pipelining = true } }
+
 // WithAnswerCheck has an UpstreamPool look at the head of each answer. An error means that the answer is not
 // the one to the request: it is dropped with its connection, and the request fails as one that may have run.
 // Nil takes every answer.
--- a/connector/server.go
+++ b/connector/server.go
@@ -46,13 +46,27 @@
 			WriteByteTimeout:     sv.config.writeStall,
 		},
 	}
+	if sv.config.pipelining {
+		sv.server.ConnState = pipeState
+	}
 	return sv
 }
 
+// pipeState tells a connection with pipelining that the server has sent an answer and waits.
+func pipeState(cn net.Conn, state http.ConnState) {
+	if idler, ok := cn.(interface{ idle() }); ok && state == http.StateIdle {
+		idler.idle()
+	}
+}
+
 // Serve accepts connections until Shutdown or Close; it then returns nil.
 // TLS is the matter of the Network that gave the listener; a request's TLS field stays nil.
 func (sv *Server) Serve(ln net.Listener) error {
-	err := sv.server.Serve(newLimitListener(ln, sv.config.maxConns, sv.config.writeStall))
+	ln = newLimitListener(ln, sv.config.maxConns, sv.config.writeStall)
+	if sv.config.pipelining {
+		ln = newPipeListener(ln, sv.config.idleTimeout)
+	}
+	err := sv.server.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/server/run.go
+++ b/server/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 )
 
@@ -40,7 +41,8 @@
 	case <-late.C:
 	}
 	sv.take(sv.spreader.Holder().Current())
-	err := sv.listen("callers", sv.settings.Listen.Callers, sv.drainer.Count(sv.callersThrough(sv.node.forwarder.Callers(), sv.node.forwarder.Outbound())))
+	err := sv.listen("callers", sv.settings.Listen.Callers, sv.drainer.Count(sv.callersThrough(sv.node.forwarder.Callers(), sv.node.forwarder.Outbound())),
+		connector.WithPipelining())
 	if err != nil {
 		sv.logger.Log(eventPort, "port", "callers", "err", err)
 		sv.tmb.Kill(err)
