admitter, throttler: a small workspace gets its share of an overloaded class

Cause: once the entry refuses early, a queue holds requests of one importance only. Of these it shed the oldest after a fixed wait, and the last of the longest backlog by weight. A small workspace has one request in the queue at most times; by weight that is the longest backlog, and its turn comes seldomer than the wait allows.

Now the queue sheds what would be started last, a flow keeps up to three turns that it did not take, and waits until its turn can have come; the entry lets in the same share of each workspace's requests, one after the other.

--- a/admitter/flow.go
+++ b/admitter/flow.go
@@ -32,11 +32,11 @@
 	length    int
 	tag       float64 // virtual time at which the flow's next request is due
 	turnAt    int     // place in class.turns
-	lengthAt  int     // place in class.lengths
+	lastAt    int     // place in class.lasts
 }
 
-// backlog is the length of the flow by its weight.
-func (fl *flow) backlog() float64 { return float64(fl.length) / fl.weight }
+// lastTurn is the virtual time at which the flow's last request is due.
+func (fl *flow) lastTurn() float64 { return fl.tag + float64(fl.length-1)/fl.weight }
 
 func (fl *flow) append(wt *waiter) {
 	wt.flow = fl
@@ -67,17 +67,21 @@
 
 // class holds the waiting requests of one rank, in one flow per workspace.
 // Its flows take turns by start-time fair queueing: each turn moves a flow's tag on by one over
-// its weight, and the lowest tag is next.
+// its weight, and the lowest tag is next. A flow that was empty has turnsInHand at most.
 type class struct {
 	rank    rank
 	flows   map[gypsumhoist.Workspace]*flow
 	turns   flowHeap // lowest tag first
-	lengths flowHeap // largest backlog first
+	lasts   flowHeap // latest last turn first
 	virtual float64
+	weights float64 // of the flows that wait
 	length  int
 	idle    int // flows without a request, kept for their tags
 }
 
+// turnsInHand is how many turns a flow keeps that it did not take while it was empty.
+const turnsInHand = 3
+
 // idleFlowsMax is how many empty flows a class keeps so that their tags aren't forgotten.
 const idleFlowsMax = 256
 
@@ -89,9 +93,9 @@
 			less:  func(fa, fb *flow) bool { return fa.tag < fb.tag },
 			place: func(fl *flow) *int { return &fl.turnAt },
 		},
-		lengths: flowHeap{
-			less:  func(fa, fb *flow) bool { return fa.backlog() > fb.backlog() },
-			place: func(fl *flow) *int { return &fl.lengthAt },
+		lasts: flowHeap{
+			less:  func(fa, fb *flow) bool { return fa.lastTurn() > fb.lastTurn() },
+			place: func(fl *flow) *int { return &fl.lastAt },
 		},
 	}
 }
@@ -103,17 +107,20 @@
 		cl.flows[ws] = fl
 		cl.idle++
 	}
+	before := fl.weight
 	fl.weight = float64(weight)
 	fl.append(wt)
 	cl.length++
+	cl.weights += fl.weight
 	if fl.length > 1 {
-		cl.lengths.fix(fl)
+		cl.weights -= before
+		cl.lasts.fix(fl)
 		return
 	}
 	cl.idle--
-	fl.tag = math.Max(fl.tag, cl.virtual)
+	fl.tag = math.Max(fl.tag, cl.virtual-turnsInHand/fl.weight)
 	cl.turns.push(fl)
-	cl.lengths.push(fl)
+	cl.lasts.push(fl)
 }
 
 // next returns the request whose turn it is.
@@ -127,13 +134,14 @@
 	fl.tag += 1 / fl.weight
 	if fl.length > 0 {
 		cl.turns.fix(fl)
+		cl.lasts.fix(fl)
 	}
 }
 
-// last returns the request that is to go first when one must: of the flow with the largest
-// backlog the one that would be started last.
+// last returns the request that is to go first when one must: of the flow whose last turn is the latest
+// the one that would be started last.
 func (cl *class) last(newestFirst bool) *waiter {
-	return end(cl.lengths.top(), !newestFirst)
+	return end(cl.lasts.top(), !newestFirst)
 }
 
 func end(fl *flow, newest bool) *waiter {
@@ -148,11 +156,12 @@
 	fl.unlink(wt)
 	cl.length--
 	if fl.length > 0 {
-		cl.lengths.fix(fl)
+		cl.lasts.fix(fl)
 		return
 	}
+	cl.weights -= fl.weight
 	cl.turns.remove(fl)
-	cl.lengths.remove(fl)
+	cl.lasts.remove(fl)
 	cl.idle++
 	if cl.idle > idleFlowsMax {
 		cl.forget()
--- a/admitter/shed.go
+++ b/admitter/shed.go
@@ -112,12 +112,20 @@
 	return co.times.all.quick * time.Duration(ahead) / time.Duration(co.limit.now())
 }
 
-// patience returns how long a request may wait while it is among the least important.
+// patience returns how long a request may wait while it is among the least important: at least until the next turn
+// of its workspace can have come, or small workspaces would get less than their share.
 func (co *Core) patience(wt *waiter) time.Duration {
+	longest := co.waitMax()
 	if wt.patience > 0 {
-		return min(wt.patience, co.waitMax())
+		longest = min(wt.patience, longest)
 	}
-	return co.waitMax()
+	return max(longest, co.turn(wt.flow))
+}
+
+// turn returns the time between two turns of a workspace while all that wait have their share.
+func (co *Core) turn(fl *flow) time.Duration {
+	shares := fl.class.weights / fl.weight
+	return time.Duration(shares * float64(co.times.all.median) / float64(max(co.limit.now(), 1)))
 }
 
 func (co *Core) waitMax() time.Duration { return max(waitMax, waitMaxTimes*co.times.all.median) }
--- a/forwarder/throttle.go
+++ b/forwarder/throttle.go
@@ -12,7 +12,7 @@
 	if fw.throttler == nil || cl.nested {
 		return nil
 	}
-	rf := fw.throttler.Admit(cl.kind())
+	rf := fw.throttler.Admit(cl.kind(), cl.workspace)
 	cl.admitted = rf == nil
 	return rf
 }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -25,6 +25,8 @@
 	retryLeast = 250 * time.Millisecond
 	retryMost  = 750 * time.Millisecond
 	routesMax  = 8192
+	// workspacesMax bounds the workspaces of a kind whose shares are kept apart.
+	workspacesMax = 512
 )
 
 // Key names a kind of requests: those of one route and importance.
@@ -46,6 +48,8 @@
 type kind struct {
 	asked, ended, failed [sliceCount]float64
 	slice                int64
+	// owed is what each workspace has of its next request that is let in, 0 to 1.
+	owed map[gypsumhoist.Workspace]float64
 }
 
 // New returns a throttler that has seen nothing and refuses nothing. It owns the source of random numbers.
@@ -53,8 +57,9 @@
 	return &Throttler{start: time.Now(), random: random, kinds: map[Key]*kind{}}
 }
 
-// Admit returns nil, or a refusal of a request whose kind fares badly.
-func (th *Throttler) Admit(key Key) *gypsumhoist.Refusal {
+// Admit returns nil, or a refusal of a workspace's request whose kind fares badly.
+// Of each workspace the same share is let in, also of one that asks seldom.
+func (th *Throttler) Admit(key Key, ws gypsumhoist.Workspace) *gypsumhoist.Refusal {
 	th.mu.Lock()
 	defer th.mu.Unlock()
 	kd := th.kind(key)
@@ -64,7 +69,8 @@
 	asked, allowed := kd.allowance()
 	total := sum(kd.asked[:])
 	kd.asked[kd.slice%sliceCount]++
-	if total < leastCount || th.random.Float64() >= (asked-allowed)/(asked+1) {
+	refused := (asked - allowed) / (asked + 1)
+	if total < leastCount || refused <= 0 || kd.take(ws, 1-refused, th.random) {
 		return nil
 	}
 	wait := retryLeast + time.Duration(th.random.Int64N(int64(retryMost-retryLeast)))
@@ -86,6 +92,24 @@
 	}
 }
 
+// take reports whether a workspace's request is among the share of them that is let in.
+func (kd *kind) take(ws gypsumhoist.Workspace, share float64, random *rand.Rand) bool {
+	owed, known := kd.owed[ws]
+	if !known {
+		if len(kd.owed) >= workspacesMax {
+			clear(kd.owed)
+		}
+		owed = random.Float64()
+	}
+	owed += share
+	taken := owed >= 1
+	if taken {
+		owed--
+	}
+	kd.owed[ws] = owed
+	return taken
+}
+
 // allowance returns how many requests were asked for over a time, and how many of so many are to be let in.
 func (kd *kind) allowance() (asked, allowed float64) {
 	var late, lateEnded, lateFailed float64
@@ -111,7 +135,7 @@
 		if len(th.kinds) >= routesMax {
 			clear(th.kinds)
 		}
-		kd = &kind{slice: now}
+		kd = &kind{slice: now, owed: map[gypsumhoist.Workspace]float64{}}
 		th.kinds[key] = kd
 	}
 	for steps := 0; kd.slice < now && steps < sliceCount; steps++ {
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/throttler"
 )
 
@@ -19,7 +20,7 @@
 	room := 0.0
 	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perS)) {
 		room = min(room+float64(capacity)/float64(perS), 4)
-		if th.Admit(key) != nil {
+		if th.Admit(key, "east") != nil {
 			continue
 		}
 		letIn++
@@ -82,7 +83,7 @@
 	gm := gomega.NewWithT(t)
 	th := throttler.New(rand.New(rand.NewPCG(4, 4)))
 	for range 200 {
-		if rf := th.Admit(key); rf != nil {
+		if rf := th.Admit(key, "east"); rf != nil {
 			gm.Expect(rf.RetryAfter).To(gomega.BeNumerically(">=", 250*time.Millisecond))
 			return
 		}
@@ -90,3 +91,46 @@
 	}
 	t.Fatal("nothing was refused though nothing was served")
 }
+
+// ofSmall plays a crowd of one large workspace and a small one to a service that serves half of what they ask,
+// and returns how many of the small one's requests were let in.
+func ofSmall(seed uint64, requests int) int {
+	const share = 20
+	th := throttler.New(rand.New(rand.NewPCG(seed, 6)))
+	letIn, room := 0, 0.0
+	for number := range requests * share {
+		room = min(room+0.5, 4)
+		ws := gypsumhoist.Workspace("large")
+		if number%share == 0 {
+			ws = "small"
+		}
+		if th.Admit(key, ws) == nil {
+			if ws == "small" {
+				letIn++
+			}
+			well := room >= 1
+			if well {
+				room--
+			}
+			th.Done(key, well)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return letIn
+}
+
+func TestEachWorkspaceHasItsShareLetIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests, seeds = 40, 30
+		letIn, most, least := 0, 0, requests
+		for seed := range uint64(seeds) {
+			got := ofSmall(seed, requests)
+			letIn, most, least = letIn+got, max(most, got), min(least, got)
+		}
+		mean := float64(letIn) / seeds
+		t.Logf("let in of %d: %d to %d, %.1f on average", requests, least, most, mean)
+		gm := gomega.NewWithT(t)
+		gm.Expect(float64(least)).To(gomega.BeNumerically(">=", 0.8*mean))
+		gm.Expect(float64(most)).To(gomega.BeNumerically("<=", 1.2*mean))
+	})
+}
