connector: nothing is run behind an answer that asks the client to go elsewhere

Cause, found by reading: a draining server's answers close their connection, so what runs behind one on a follower would be cut off, though it had been passed on.

--- a/connector/pipelead.go
+++ b/connector/pipelead.go
@@ -196,7 +196,7 @@
 // follow hands a request to the server on a connection of its own.
 func (ld *lead) follow(head []byte) bool {
 	ld.mu.Lock()
-	if ld.gone || len(ld.turns) >= pipeTurns {
+	if ld.gone || len(ld.turns) >= pipeTurns || ld.listener.draining.Load() {
 		ld.mu.Unlock()
 		return false
 	}
--- a/connector/pipeline_test.go
+++ b/connector/pipeline_test.go
@@ -134,6 +134,28 @@
 	})
 }
 
+func TestDrainRunsNothingBehindAnAnswerThatCloses(t *testing.T) {
+	var ran atomic.Int32
+	withPipeline(t, func(wr http.ResponseWriter, req *http.Request) {
+		ran.Add(1)
+		dawdle(wr, req)
+	}, func(sv *connector.Server, pc *pipeClient) {
+		pc.send(get("/a-100") + get("/b-300"))
+		time.Sleep(50 * time.Millisecond)
+		sv.Drain()
+		pc.want("/a-100")
+		pc.send(get("/c-10") + get("/d-10") + get("/e-10"))
+		pc.want("/b-300")
+		pc.want("/c-10")
+		if _, err := pc.reader.ReadByte(); err != io.EOF {
+			pc.t.Fatalf("after an answer that closes came %v", err)
+		}
+		if got := ran.Load(); got != 3 {
+			pc.t.Fatalf("%d requests ran, 3 were answered", got)
+		}
+	})
+}
+
 func TestClientThatLeavesEndsItsPipelinedRequests(t *testing.T) {
 	var ended atomic.Int32
 	withPipeline(t, func(_ http.ResponseWriter, req *http.Request) {
--- a/connector/pipelistener.go
+++ b/connector/pipelistener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,15 +14,18 @@
 type pipeListener struct {
 	net.Listener
 	idleTime time.Duration
+	// draining tells that nothing more is run side by side: an answer that asks the client to go elsewhere is the last.
+	draining *atomic.Bool
 	conns    chan net.Conn
 	failed   chan error
 	closed   chan struct{}
 	once     sync.Once
 }
 
-func newPipeListener(ln net.Listener, idle time.Duration) *pipeListener {
+func newPipeListener(ln net.Listener, idle time.Duration, draining *atomic.Bool) *pipeListener {
 	pl := &pipeListener{
-		Listener: ln, idleTime: idle, conns: make(chan net.Conn), failed: make(chan error), closed: make(chan struct{}),
+		Listener: ln, idleTime: idle, draining: draining,
+		conns: make(chan net.Conn), failed: make(chan error), closed: make(chan struct{}),
 	}
 	go pl.run()
 	return pl
--- a/connector/server.go
+++ b/connector/server.go
@@ -64,7 +64,7 @@
 func (sv *Server) Serve(ln net.Listener) error {
 	ln = newLimitListener(ln, sv.config.maxConns, sv.config.writeStall)
 	if sv.config.pipelining {
-		ln = newPipeListener(ln, sv.config.idleTimeout)
+		ln = newPipeListener(ln, sv.config.idleTimeout, &sv.draining)
 	}
 	err := sv.server.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
