--- a/cmd/gypsumhoist/explain.go
+++ b/cmd/gypsumhoist/explain.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/url"
+	"os"
 
+	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/explainer"
 )
 
@@ -12,11 +16,15 @@
 type explainCmd struct {
 	operatorFlags
 
-	Request string `arg:"" help:"Request id, as the answer's Gypsumhoist-Request header gives it."`
+	Request string   `arg:"" help:"Request id, as the answer's Gypsumhoist-Request header gives it."`
+	Log     []string `help:"Read saved log lines of any instances instead of asking the fleet; may be given several times." type:"existingfile" placeholder:"FILE"`
 }
 
 // Run prints the timeline of the request. A request that nobody knows is an error.
 func (ec *explainCmd) Run() error {
+	if len(ec.Log) > 0 {
+		return ec.fromLogs()
+	}
 	an, err := ec.fetch(http.MethodGet, "/explain/"+url.PathEscape(ec.Request))
 	if err != nil {
 		return err
@@ -35,3 +43,32 @@
 	}
 	return err
 }
+
+// fromLogs prints the timeline that saved log lines tell.
+func (ec *explainCmd) fromLogs() error {
+	ex := explainer.Explanation{Request: gypsumhoist.RequestID(ec.Request)}
+	for _, name := range ec.Log {
+		rcs, err := readLogFile(name, ex.Request)
+		if err != nil {
+			return err
+		}
+		ex.Records = append(ex.Records, rcs...)
+	}
+	explainer.SortRecords(ex.Records)
+	if len(ex.Records) == 0 {
+		return fmt.Errorf("the saved lines tell nothing of request %s", ec.Request)
+	}
+	if ec.JSON {
+		return json.NewEncoder(ec.writer()).Encode(ex)
+	}
+	return explainer.WriteText(ec.writer(), ex)
+}
+
+func readLogFile(name string, id gypsumhoist.RequestID) ([]*explainer.Record, error) {
+	fl, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer fl.Close()
+	return explainer.ReadLog(fl, id)
+}
