--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -64,6 +64,9 @@
 	streams bool
 }
 
+// slotsOfNode is how many calls the upstream of each node runs at one time.
+const slotsOfNode = 20
+
 // fleet is a few nodes in one bubble, without control: the table is given.
 type fleet struct {
 	network *emulator.Network
@@ -166,7 +169,7 @@
 	claims.SetDomains([]gypsumhoist.FailureDomain{domain}, nil)
 	claims.Start()
 	admit := admitter.New()
-	admit.SetSlots(20)
+	admit.SetSlots(slotsOfNode)
 	nd.rt = router.New(domain)
 	nd.book = explainer.New(100)
 	var early *throttler.Throttler
--- a/forwarder/growth_test.go
+++ b/forwarder/growth_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing/synctest"
 	"time"
 
@@ -36,6 +37,23 @@
 		Expect(time.Since(began)).To(BeNumerically("~", 310*time.Millisecond, 30*time.Millisecond))
 	}))
 
+	It("passes while a request waits at another node, and the answer says that it has not run", inFleet(func(fl *fleet) {
+		fl.network.SetDelay(domain, domain, time.Millisecond)
+		fl.add("slips-1", func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() })
+		entry := fl.add("roster-1", say(""))
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips", Deadline: time.Second})
+		key := fl.grant("kingston")
+		var full sync.WaitGroup
+		for range slotsOfNode {
+			full.Go(func() { _, _, _ = fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, key) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		rs, body, err := fl.call(entry, "GET", "/slips", "", gypsumhoist.HeaderKey, key, gypsumhoist.HeaderDeadline, "200")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rs.Header.Get(gypsumhoist.HeaderVerdict)).To(Equal(gypsumhoist.VerdictNotRun.String()), body)
+		full.Wait()
+	}))
+
 	It("never leaves a caller without an answer when the upstream answers at that moment", inFleet(func(fl *fleet) {
 		fl.add("slips-1", tillDeadline)
 		entry := fl.add("roster-1", say(""))
