--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -26,6 +26,7 @@
 	"github.com/gypsumhoist/gypsumhoist/connector/emulator"
 	"github.com/gypsumhoist/gypsumhoist/explainer"
 	"github.com/gypsumhoist/gypsumhoist/forwarder"
+	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 	"github.com/gypsumhoist/gypsumhoist/retrier"
 	"github.com/gypsumhoist/gypsumhoist/router"
@@ -83,6 +84,27 @@
 	claims    sync.Mutex
 	// throttles lets nodes that are added from now on refuse early by how requests end.
 	throttles bool
+	// lines takes the log lines of nodes that are added from now on.
+	lines *safeBuffer
+}
+
+// safeBuffer takes lines from several nodes.
+type safeBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (sb *safeBuffer) Write(data []byte) (int, error) {
+	sb.mu.Lock()
+	defer sb.mu.Unlock()
+	return sb.text.Write(data)
+}
+
+func (sb *safeBuffer) String() string {
+	sb.mu.Lock()
+	defer sb.mu.Unlock()
+	return sb.text.String()
 }
 
 // inFleet runs a spec inside a synctest bubble with a fleet.
@@ -176,7 +198,12 @@
 	if fl.throttles {
 		early = throttler.New(mathrand.New(mathrand.NewPCG(1, uint64(len(fl.nodes)))))
 	}
+	var lg *logger.Logger
+	if fl.lines != nil {
+		lg = logger.New(fl.lines, "instance", name)
+	}
 	nd.fw = forwarder.New(
+		forwarder.WithLogger(lg),
 		forwarder.WithThrottler(early),
 		forwarder.WithInstance(name), forwarder.WithHolder(fl.tables), forwarder.WithRouter(nd.rt),
 		forwarder.WithRetrier(retrier.New()), forwarder.WithAdmitter(admit, admitter.NewForecaster()),
