--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/checker"
 	"github.com/gypsumhoist/gypsumhoist/connector"
+	"github.com/gypsumhoist/gypsumhoist/journaler"
 	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
 	"github.com/gypsumhoist/gypsumhoist/server"
 )
@@ -32,6 +33,7 @@
 	running map[gypsumhoist.Instance]*Process
 	boots   int
 	caller  connector.Network
+	disks   func(gypsumhoist.Instance, string) (journaler.Folder, error)
 }
 
 // Process is one instance of a Fleet that runs.
@@ -57,6 +59,11 @@
 // WithLog sets where the log lines of all instances go; nil discards them.
 func WithLog(wr io.Writer) FleetOption { return func(fl *Fleet) { fl.log = wr } }
 
+// WithDisks sets how the data folder of each instance is opened; the default is journaler.Disk.
+func WithDisks(open func(in gypsumhoist.Instance, path string) (journaler.Folder, error)) FleetOption {
+	return func(fl *Fleet) { fl.disks = open }
+}
+
 // WithRuns calls a function for each request that an upstream ran.
 func WithRuns(ob func(checker.Run)) FleetOption { return func(fl *Fleet) { fl.observe = ob } }
 
@@ -96,6 +103,9 @@
 	if fl.log != nil {
 		opts = append(opts, server.WithLog(fl.log))
 	}
+	if fl.disks != nil {
+		opts = append(opts, server.WithDisk(func(path string) (journaler.Folder, error) { return fl.disks(name, path) }))
+	}
 	pr := &Process{Place: pl, Boot: fl.boots, Server: server.New(pl.Settings, opts...)}
 	if err := pr.Server.Start(); err != nil {
 		return fmt.Errorf("instance %s: %w", name, err)
--- a/server/control.go
+++ b/server/control.go
@@ -26,6 +26,7 @@
 	repairEvery    = time.Second
 	controlMost    = 11 // control instances that get a seat by themselves
 	repairPatience = 5 * time.Second
+	reopenEvery    = time.Second // between two tries to open a journal that has failed
 )
 
 var (
@@ -36,6 +37,9 @@
 		"A control instance came back without its disk and has a new seat; the old one is gone.")
 )
 
+var eventReopened = logger.Define(1024, logger.LevelWarn, "control_reopened",
+	"The journal of the table's log had failed and was opened anew; err says why it can't be opened yet.")
+
 // control is the control role of a process: its member of the replicated log and the state behind it.
 type control struct {
 	sv     *Server
@@ -109,12 +113,14 @@
 
 // start opens the journal and takes this instance's seat, at once if it had one before.
 func (ct *control) start() error {
-	fd, err := journaler.Disk(ct.sv.settings.DataFolder)
+	fd, err := ct.sv.disk(ct.sv.settings.DataFolder)
 	if err != nil {
 		return TagData.Wrap(err)
 	}
 	jn, err := journaler.Open(fd)
 	if err != nil {
+		// Or the next try would find the folder taken.
+		_ = fd.Close()
 		return TagData.Errorf("%s: %w", ct.sv.settings.DataFolder, err)
 	}
 	st := ct.sv.settings
@@ -183,9 +189,7 @@
 		case <-ct.sv.tmb.Dying():
 			return nil
 		case <-ct.group.Load().Dead():
-			if ct.sv.tmb.Alive() {
-				return TagLog.Errorf("stopped, as its journal failed")
-			}
+			ct.reopen()
 			return nil
 		case mb := <-ct.wanted:
 			ct.seat(mb)
@@ -196,6 +200,25 @@
 	}
 }
 
+// reopen takes the seat again after the journal has failed, as a disk that was full or broken for a while may serve again.
+// It begins from what the disk holds, as a process that starts does, and goes on trying until the process stops.
+func (ct *control) reopen() {
+	ct.group.Load().Stop()
+	for ct.sv.tmb.Alive() {
+		select {
+		case <-ct.sv.tmb.Dying():
+			return
+		case <-time.After(reopenEvery):
+		}
+		ct.state = registrar.NewState()
+		err := ct.start()
+		ct.sv.logger.Log(eventReopened, "err", err)
+		if err == nil {
+			return
+		}
+	}
+}
+
 // introduce tells the founders about this member while it has no vote, or while an earlier identity of it has a seat.
 func (ct *control) introduce() {
 	gp := ct.group.Load()
--- a/server/seeded_test.go
+++ b/server/seeded_test.go
@@ -45,7 +45,7 @@
 }
 
 // inSeededFleet runs a spec with the first three instances up.
-func inSeededFleet(spec func(bn *bench)) func() {
+func inSeededFleet(spec func(bn *bench), opts ...emulator.FleetOption) func() {
 	return func() {
 		folder, err := os.MkdirTemp("", "gypsumhoist-server-")
 		Expect(err).NotTo(HaveOccurred())
@@ -55,8 +55,9 @@
 			nw := netemulator.New()
 			host := func(addr netip.Addr, fd gypsumhoist.FailureDomain) connector.Network { return nw.Host(addr, fd) }
 			bn := &bench{ran: map[gypsumhoist.Instance]int{}}
-			bn.fleet = emulator.NewFleet(seeded(folder), emulator.WithRuns(bn.note),
+			opts = append(opts, emulator.WithRuns(bn.note),
 				emulator.WithHosts(host), emulator.WithCaller(host(netip.MustParseAddr("10.9.0.1"), "outside")))
+			bn.fleet = emulator.NewFleet(seeded(folder), opts...)
 			bn.client = bn.fleet.Client()
 			defer bn.fleet.Close()
 			defer bn.client.CloseIdleConnections()
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/drainer"
 	"github.com/gypsumhoist/gypsumhoist/gossiper"
+	"github.com/gypsumhoist/gypsumhoist/journaler"
 	"github.com/gypsumhoist/gypsumhoist/loader"
 	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
@@ -41,6 +42,7 @@
 	metrics  *metrics.Set
 	boot     gossiper.Boot
 	random   *rand.Rand
+	disk     func(path string) (journaler.Folder, error)
 
 	peers    *connector.PeerPool
 	gossiper *gossiper.Gossiper
@@ -77,6 +79,15 @@
 	return func(sv *Server) { sv.logger = logger.New(wr, "instance", sv.settings.Instance) }
 }
 
+// WithDisk sets how the data folder is opened; nil keeps journaler.Disk.
+func WithDisk(open func(path string) (journaler.Folder, error)) Option {
+	return func(sv *Server) {
+		if open != nil {
+			sv.disk = open
+		}
+	}
+}
+
 // WithRandom sets the source of random numbers, which the server then owns.
 func WithRandom(rd *rand.Rand) Option { return func(sv *Server) { sv.random = rd } }
 
@@ -84,7 +95,7 @@
 func New(st loader.Settings, opts ...Option) *Server {
 	same := func(next http.Handler) http.Handler { return next }
 	sv := &Server{
-		settings: st, metrics: metrics.NewSet(), callersThrough: func(callers, _ http.Handler) http.Handler { return callers }, peersThrough: same,
+		settings: st, metrics: metrics.NewSet(), disk: journaler.Disk, callersThrough: func(callers, _ http.Handler) http.Handler { return callers }, peersThrough: same,
 		upstreamThrough: func(_ announcer.Announcement, next http.RoundTripper) http.RoundTripper { return next },
 	}
 	for _, opt := range opts {
