replicator: only the members at the given addresses found a group

Cause: a member that was none of the first ones counted itself in when it found all of them up before they had formed. Its first members were one more than theirs, so that two groups of one name formed, each with a leader of epoch 2.

The new spec fails before (it founded with itself), passes after.

--- a/replicator/forming.go
+++ b/replicator/forming.go
@@ -69,7 +69,8 @@
 // Form finds out how a member with an empty journal comes into a group whose first members
 // run at the given addresses: it returns them for WithFirst once all of them are up and none knows
 // the group, and nil as soon as one says that the group exists, so that the member must be added to it
-// if it has no seat. It asks until the context ends. A disk lost while a group forms for the first time
+// if it has no seat. A member whose address is none of the given ones founds nothing and waits for that: with itself added, its idea of
+// the first members would not be theirs, and two groups would form. It asks until the context ends. A disk lost while a group forms for the first time
 // may leave first members that disagree; start all of them again with empty folders then.
 func (hs *Host) Form(ctx context.Context, group string, self Member, first []netip.AddrPort) ([]Member, error) {
 	hs.mu.Lock()
@@ -108,7 +109,7 @@
 			members = append(members, it.Member)
 		}
 	}
-	if len(members) < len(first) {
+	if len(members) < len(first) || !slices.Contains(first, self.Peer) {
 		return nil, false
 	}
 	slices.SortFunc(members, func(ma, mb Member) int {
--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -214,6 +214,30 @@
 	})
 })
 
+var _ = Describe("a member that is none of the first", func() {
+	It("founds nothing, though all first members are up and none knows the group", func() {
+		bubble(func(ctx context.Context, gm *WithT) {
+			fb := newFabric()
+			one, two, other := fb.process(1, "a"), fb.process(2, "a"), fb.process(3, "a")
+			defer stopAll(one, two, other)
+			first := []netip.AddrPort{one.member.Peer, two.member.Peer}
+			for _, pr := range []*process{one, two} {
+				_, err := pr.host.Form(within(ctx, 0), "g", pr.member, first)
+				gm.Expect(err).To(HaveOccurred())
+			}
+			formed, err := other.host.Form(within(ctx, 2*time.Second), "g", other.member, first)
+			gm.Expect(err).To(MatchError(context.DeadlineExceeded), "%v", formed)
+			formed, err = two.host.Form(ctx, "g", two.member, first)
+			gm.Expect(err).To(Succeed())
+			gm.Expect(formed).To(Equal([]rp.Member{one.member, two.member}))
+			gm.Expect(two.open(rp.WithFirst(formed...))).To(Succeed())
+			formed, err = other.host.Form(ctx, "g", other.member, first)
+			gm.Expect(err).To(Succeed())
+			gm.Expect(formed).To(BeNil())
+		})
+	})
+})
+
 var _ = Describe("measured in virtual time", func() {
 	It("finds a new leader after a crash", func() {
 		bubble(func(_ context.Context, gm *WithT) {
