--- a/connector/pipefollower.go
+++ b/connector/pipefollower.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"time"
 )
 
@@ -13,37 +12,28 @@
 	lead *lead
 	turn *turn
 
-	mu   sync.Mutex
+	// The lead's mutex guards these.
 	head []byte
-	// past tells that the server's time for reading is over, answered that its answer is out.
-	past, answered bool
-	// wake is closed, and replaced, at each change.
-	wake chan struct{}
+	past bool // the server's time for reading is over
 }
 
 // Read implements net.Conn. After the request there is nothing until its answer is out or the client has gone.
 func (fl *follower) Read(buf []byte) (int, error) {
 	for {
 		fl.lead.mu.Lock()
-		gone, changed := fl.lead.gone, fl.lead.changed
-		fl.lead.mu.Unlock()
-		fl.mu.Lock()
 		n := copy(buf, fl.head)
 		fl.head = fl.head[n:]
-		past, answered, wake := fl.past, fl.answered, fl.wake
-		fl.mu.Unlock()
+		past, over, changed := fl.past, fl.turn.over || fl.lead.gone, fl.lead.changed
+		fl.lead.mu.Unlock()
 		switch {
 		case n > 0:
 			return n, nil
 		case past:
 			return 0, os.ErrDeadlineExceeded
-		case answered, gone:
+		case over:
 			return 0, io.EOF
 		}
-		select {
-		case <-wake:
-		case <-changed:
-		}
+		<-changed
 	}
 }
 
@@ -51,32 +41,14 @@
 func (fl *follower) Write(buf []byte) (int, error) { return fl.lead.write(fl.turn, buf) }
 
 // idle notes that the answer is out.
-func (fl *follower) idle() {
-	fl.change(func() { fl.answered = true })
-	fl.lead.end(fl.turn, true)
-}
+func (fl *follower) idle() { fl.lead.end(fl.turn, true) }
 
 // Close implements net.Conn. Before the answer is out it ends the client's connection in the answer's place.
 func (fl *follower) Close() error {
-	fl.mu.Lock()
-	answered := fl.answered
-	fl.mu.Unlock()
-	if !answered {
-		fl.change(func() { fl.answered = true })
-		fl.lead.end(fl.turn, false)
-	}
+	fl.lead.end(fl.turn, false)
 	return nil
 }
 
-// change runs a function under the lock and wakes a reader.
-func (fl *follower) change(fn func()) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fn()
-	close(fl.wake)
-	fl.wake = make(chan struct{})
-}
-
 // LocalAddr implements net.Conn.
 func (fl *follower) LocalAddr() net.Addr { return fl.lead.LocalAddr() }
 
@@ -85,7 +57,10 @@
 
 // SetReadDeadline implements net.Conn. A time to come is of no effect, as nothing is waited for but the answer's end.
 func (fl *follower) SetReadDeadline(at time.Time) error {
-	fl.change(func() { fl.past = !at.IsZero() && !at.After(time.Now()) })
+	fl.lead.mu.Lock()
+	defer fl.lead.mu.Unlock()
+	fl.past = !at.IsZero() && !at.After(time.Now())
+	fl.lead.signal()
 	return nil
 }
 
--- a/connector/pipelead.go
+++ b/connector/pipelead.go
@@ -12,9 +12,8 @@
 
 // Bounds of pipelining.
 const (
-	pipeTurns = 32                     // requests of one connection that run at one time
-	pipeRead  = 2 << 10                // bytes read at once behind a request
-	pipeBye   = 500 * time.Millisecond // for which the client can read the last answer before its connection is closed
+	pipeTurns = 32      // requests of one connection that run at one time
+	pipeRead  = 2 << 10 // bytes read at once behind a request
 )
 
 // phase says which part of a request the server reads next from a lead.
@@ -28,12 +27,6 @@
 	phaseOpaque // all bytes go to the server as they come, for good
 )
 
-// turn is one request's place in the order of answers.
-type turn struct {
-	over   bool // its answer is out
-	closes bool // nothing may follow its answer
-}
-
 // lead is a client's connection as the server sees it. Behind a request that runs, it looks for further ones.
 type lead struct {
 	net.Conn
@@ -107,18 +100,11 @@
 	if size > 1 {
 		buf = make([]byte, min(size, pipeRead))
 	}
-	n, err := ld.Conn.Read(buf)
-	ld.rest = append(ld.rest[:0], buf[:n]...)
-	ld.noteEnd(err)
-	if n > 0 {
-		return nil
-	}
-	return err
+	return ld.more(buf)
 }
 
-// more adds to what is left over.
-func (ld *lead) more() error {
-	buf := make([]byte, pipeRead)
+// more reads once and adds it to what is left over.
+func (ld *lead) more(buf []byte) error {
 	n, err := ld.Conn.Read(buf)
 	ld.rest = append(ld.rest, buf[:n]...)
 	ld.noteEnd(err)
@@ -176,7 +162,7 @@
 		}
 		end := bytes.Index(ld.rest, headEnd)
 		if end < 0 && len(ld.rest) <= pipeHeadMax {
-			if err := ld.more(); err != nil {
+			if err := ld.more(make([]byte, pipeRead)); err != nil {
 				return err
 			}
 			continue
@@ -200,7 +186,7 @@
 		ld.mu.Unlock()
 		return false
 	}
-	fl := &follower{lead: ld, head: head, wake: make(chan struct{}), turn: &turn{}}
+	fl := &follower{lead: ld, head: head, turn: &turn{}}
 	ld.turns = append(ld.turns, fl.turn)
 	ld.mu.Unlock()
 	if ld.listener.offer(fl) {
@@ -212,20 +198,6 @@
 	return false
 }
 
-// begin notes that the server reads the head of a request.
-func (ld *lead) begin() {
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	switch {
-	case ld.own == nil:
-		ld.own = &turn{}
-		ld.turns = append(ld.turns, ld.own)
-	case ld.next == nil && len(ld.head) == 0:
-		ld.next = &turn{}
-		ld.turns = append(ld.turns, ld.next)
-	}
-}
-
 // waits reports whether an idle lead goes on though its time is over, as followers still run.
 func (ld *lead) waits(err error) bool {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -247,106 +219,3 @@
 	ld.gone = true
 	ld.signal()
 }
-
-// Write implements net.Conn.
-func (ld *lead) Write(buf []byte) (int, error) {
-	ld.mu.Lock()
-	own := ld.own
-	ld.mu.Unlock()
-	return ld.write(own, buf)
-}
-
-// write waits for a turn and writes.
-func (ld *lead) write(tn *turn, buf []byte) (int, error) {
-	for {
-		ld.mu.Lock()
-		first := len(ld.turns) == 0 || ld.turns[0] == tn
-		gone, changed := ld.gone, ld.changed
-		ld.mu.Unlock()
-		switch {
-		case first:
-			return ld.Conn.Write(buf)
-		case gone:
-			return 0, net.ErrClosed
-		}
-		<-changed
-	}
-}
-
-// idle notes that the answer on the lead is out and that the server waits for the next request.
-func (ld *lead) idle() {
-	ld.mu.Lock()
-	if ld.own != nil {
-		ld.own.over = true
-	}
-	ld.own, ld.next = ld.next, nil
-	ld.advance()
-	ld.mu.Unlock()
-	if ld.phase == phaseWhole || ld.phase == phaseBehind {
-		ld.phase, ld.head = phaseHead, ld.head[:0]
-	}
-}
-
-// end notes that a turn is over, and with it the connection unless whole.
-func (ld *lead) end(tn *turn, whole bool) {
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	tn.over = true
-	tn.closes = tn.closes || !whole
-	ld.advance()
-}
-
-// advance goes on to the first turn that is not over. The mutex is held.
-func (ld *lead) advance() {
-	for len(ld.turns) > 0 && ld.turns[0].over {
-		closes := ld.turns[0].closes
-		ld.turns = ld.turns[1:]
-		if closes {
-			ld.shut()
-			break
-		}
-	}
-	ld.signal()
-}
-
-// shut closes the client's connection, once the client can have read what was written. The mutex is held.
-func (ld *lead) shut() {
-	ld.gone = true
-	if cw, ok := ld.Conn.(interface{ CloseWrite() error }); ok && cw.CloseWrite() == nil {
-		time.AfterFunc(pipeBye, func() { _ = ld.Conn.Close() })
-		return
-	}
-	_ = ld.Conn.Close()
-}
-
-// signal wakes who waits for a change. The mutex is held.
-func (ld *lead) signal() {
-	close(ld.changed)
-	ld.changed = make(chan struct{})
-}
-
-// CloseWrite ends the sending side.
-func (ld *lead) CloseWrite() error {
-	if cw, ok := ld.Conn.(interface{ CloseWrite() error }); ok {
-		return cw.CloseWrite()
-	}
-	return nil
-}
-
-// Close implements net.Conn. Answers that are still to come go out first.
-func (ld *lead) Close() error {
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	behind := len(ld.turns) - 1
-	switch {
-	case ld.gone || behind < 0 || ld.own != nil && ld.turns[0] == ld.own:
-		ld.gone = true
-		ld.signal()
-		return ld.Conn.Close()
-	case ld.own != nil:
-		ld.own.over, ld.own.closes = true, true
-	default:
-		ld.turns[behind].closes = true
-	}
-	return nil
-}
--- a/server/control.go
+++ b/server/control.go
@@ -35,11 +35,10 @@
 		"The founders of the table's log were not all up in time; start all that the settings name.")
 	eventReplaced = logger.Define(1023, logger.LevelWarn, "control_member_replaced",
 		"A control instance came back without its disk and has a new seat; the old one is gone.")
+	eventReopened = logger.Define(1024, logger.LevelWarn, "control_reopened",
+		"The journal of the table's log had failed and was opened anew; err says why it can't be opened yet.")
 )
 
-var eventReopened = logger.Define(1024, logger.LevelWarn, "control_reopened",
-	"The journal of the table's log had failed and was opened anew; err says why it can't be opened yet.")
-
 // control is the control role of a process: its member of the replicated log and the state behind it.
 type control struct {
 	sv     *Server
