--- a/connector/attempt.go
+++ b/connector/attempt.go
@@ -15,8 +15,9 @@
 // attempt follows one request through a http.Transport, to know afterwards whether it may have run.
 type attempt struct {
 	mu sync.Mutex
-	// conn is the last connection that the transport chose.
+	// conn is the last connection that the transport chose, peer that of a PeerPool.
 	conn *poolConn
+	peer *peerConn
 	// request is the number of the request on it.
 	request uint64
 	// chosen tells that the transport has chosen a connection.
@@ -111,13 +112,38 @@
 }
 
 func (at *attempt) gotConn(info httptrace.GotConnInfo) {
-	pc, _ := info.Conn.(*poolConn)
 	at.mu.Lock()
 	defer at.mu.Unlock()
 	at.chosen = true
-	at.conn = pc
-	if pc != nil {
+	switch pc := info.Conn.(type) {
+	case *poolConn:
+		at.conn = pc
 		at.request = pc.acquire()
+	case *peerConn:
+		at.leavePeer()
+		at.peer = pc
+		pc.acquire()
+	}
+}
+
+// peerDone notes the end of a request at the connection of a PeerPool.
+func (at *attempt) peerDone() {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	at.leavePeer()
+}
+
+// over reports whether the transport chose a connection of a PeerPool.
+func (at *attempt) over(pc *peerConn) bool {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	return at.peer == pc
+}
+
+func (at *attempt) leavePeer() {
+	if at.peer != nil {
+		at.peer.release()
+		at.peer = nil
 	}
 }
 
--- a/connector/peerpool.go
+++ b/connector/peerpool.go
@@ -8,14 +8,16 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
 // PeerPool sends requests to other instances over shared HTTP/2 connections.
 // It uses no proxy, follows no redirect and never sends a request twice.
-// A connection on which nothing arrives is pinged, and closed without a pong,
-// so that a silent one is replaced after the two times that WithPing sets.
+// A connection on which nothing arrives though a request went out is asked, and closed without an answer,
+// so that a silent one is replaced after the two times that WithPing sets. Then all others are asked too.
+// One without requests is left alone: a fleet has a connection for each pair of its nodes.
 // TLS is the Network's matter. A PeerPool is safe for concurrent use.
 type PeerPool struct {
 	config    config
@@ -25,12 +27,9 @@
 	mu     sync.Mutex
 	closed bool
 	conns  map[*peerConn]struct{}
-}
-
-// peerConn is a connection that its pool closes with itself.
-type peerConn struct {
-	net.Conn
-	pool *PeerPool
+	// watching tells that look is about to be called.
+	watching bool
+	sweptAt  time.Time
 }
 
 var (
@@ -50,7 +49,7 @@
 		IdleConnTimeout:        pp.config.idleTimeout,
 		MaxResponseHeaderBytes: int64(pp.config.maxHeaderBytes),
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  pp.config.pingAfter,
+			SendPingTimeout:  idlePing,
 			PingTimeout:      pp.config.pingTimeout,
 			WriteByteTimeout: pp.config.pingTimeout,
 		},
@@ -68,9 +67,11 @@
 	at := &attempt{}
 	rsp, err := pp.transport.RoundTrip(at.prepare(req, true))
 	if err != nil {
+		at.peerDone()
 		return nil, newFailure(req.Context(), at.notRun2(req.Context(), err), err)
 	}
 	rsp.Request = req
+	rsp.Body = &peerBody{ReadCloser: rsp.Body, attempt: at}
 	return rsp, nil
 }
 
@@ -105,30 +106,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return pp.keep(cn)
+	return pp.keep(cn, addr)
 }
 
 // keep notes a new connection, or closes it where the pool is closed.
-func (pp *PeerPool) keep(cn net.Conn) (net.Conn, error) {
+func (pp *PeerPool) keep(cn net.Conn, addr string) (net.Conn, error) {
 	pp.mu.Lock()
 	defer pp.mu.Unlock()
 	if pp.closed {
 		_ = cn.Close()
 		return nil, net.ErrClosed
 	}
-	pc := &peerConn{Conn: cn, pool: pp}
+	pc := &peerConn{Conn: cn, pool: pp, addr: addr, read: time.Now()}
 	pp.conns[pc] = struct{}{}
 	return pc, nil
 }
 
-// Close implements net.Conn.
-func (pc *peerConn) Close() error {
-	pc.pool.mu.Lock()
-	delete(pc.pool.conns, pc)
-	pc.pool.mu.Unlock()
-	return pc.Conn.Close()
-}
-
 // counter returns the named counter, one that nobody reads for a nil set.
 func counter(ms *metrics.Set, name string) *metrics.Counter {
 	if ms == nil {
--- a/connector/server.go
+++ b/connector/server.go
@@ -41,7 +41,7 @@
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: sv.config.maxStreams,
 			MaxReadFrameSize:     maxReadFrame,
-			SendPingTimeout:      sv.config.pingAfter,
+			SendPingTimeout:      idlePing,
 			PingTimeout:          sv.config.pingTimeout,
 			WriteByteTimeout:     sv.config.writeStall,
 		},
--- a/connector/silence_test.go
+++ b/connector/silence_test.go
@@ -222,3 +222,73 @@
 	_, _ = io.Copy(io.Discard, net.Conn(cn))
 	return time.Since(from)
 }
+
+var _ = Describe("Connections between peers", func() {
+	It("cost next to nothing while nobody asks for anything", bubble(func(g Gomega) {
+		st := newSite(g)
+		defer st.server.Close()
+		pp := connector.NewPeerPool(connector.WithNetwork(st.client), connector.WithIdleTimeout(time.Hour))
+		defer pp.Close()
+		g.Expect(call(pp, 0, time.Second)).To(Succeed())
+		time.Sleep(time.Second)
+		before := st.client.Writes()
+		time.Sleep(time.Minute)
+		g.Expect(st.client.Writes() - before).To(BeNumerically("<=", 8))
+	}))
+
+	It("that go silent while an answer is being made fail the request in time", bubble(func(g Gomega) {
+		st := newSite(g)
+		defer st.server.Close()
+		pp := connector.NewPeerPool(connector.WithNetwork(st.client))
+		defer pp.Close()
+		ends := make(chan error, 1)
+		go func() { ends <- call(pp, 30*time.Second, time.Minute) }()
+		time.Sleep(3500 * time.Millisecond)
+		st.freeze()
+		from := time.Now()
+		g.Expect(connector.VerdictOf(<-ends)).To(Equal(gypsumhoist.VerdictMayHaveRun))
+		g.Expect(time.Since(from)).To(BeNumerically("<=", connector.DefaultPingAfter+connector.DefaultPingTimeout))
+	}))
+
+	It("that go silent are found though each request gives up early", bubble(func(g Gomega) {
+		st := newSite(g)
+		defer st.server.Close()
+		pp := connector.NewPeerPool(connector.WithNetwork(st.client))
+		defer pp.Close()
+		g.Expect(call(pp, 0, time.Second)).To(Succeed())
+		st.freeze()
+		from := time.Now()
+		for call(pp, 0, 200*time.Millisecond) != nil {
+			g.Expect(time.Since(from)).To(BeNumerically("<=", 2500*time.Millisecond))
+		}
+	}))
+
+	It("that nobody uses are asked too once one was silent", bubble(func(g Gomega) {
+		st := newSite(g)
+		defer st.server.Close()
+		second := netip.MustParseAddrPort("10.0.0.4:80")
+		ln, err := st.network.Host(second.Addr(), "d").Listen(second)
+		g.Expect(err).NotTo(HaveOccurred())
+		go func() { _ = st.server.Serve(ln) }()
+		pp := connector.NewPeerPool(connector.WithNetwork(st.client))
+		defer pp.Close()
+		toSecond := func(bound time.Duration) error {
+			ctx, cancel := context.WithTimeout(context.Background(), bound)
+			defer cancel()
+			req := newRequest("GET", false, "").WithContext(ctx)
+			req.URL.Host = second.String()
+			rsp, err := pp.RoundTrip(req)
+			if err != nil {
+				return err
+			}
+			return rsp.Body.Close()
+		}
+		g.Expect(call(pp, 0, time.Second)).To(Succeed())
+		g.Expect(toSecond(time.Second)).To(Succeed())
+		time.Sleep(3 * time.Second)
+		st.network.Freeze([]netip.Addr{clientAddr}, []netip.Addr{serverAddr, second.Addr()})
+		g.Expect(call(pp, 0, time.Minute)).NotTo(Succeed())
+		time.Sleep(connector.DefaultPingTimeout + 100*time.Millisecond)
+		g.Expect(toSecond(100 * time.Millisecond)).To(Succeed())
+	}))
+})
