--- a/gossiper/core.go
+++ b/gossiper/core.go
@@ -28,9 +28,9 @@
 	lastCall CallID
 	now      time.Time
 	actions  []Action
-	// linksStale asks for new neighbours, viewStale for a new view.
-	linksStale, viewStale bool
-	seedAt, retryAt       time.Time
+	// linksStale asks for new neighbours, viewStale for a new view, viewUrgent for one at once: more than hints have changed.
+	linksStale, viewStale, viewUrgent bool
+	seedAt, retryAt                   time.Time
 	// electAt is when the instance may become a bridge, not later than latestElect; zero when it may.
 	electAt, latestElect time.Time
 	pruneAt, hintAt      time.Time
@@ -94,6 +94,7 @@
 		now:        now,
 		linksStale: true,
 		viewStale:  true,
+		viewUrgent: true,
 		seedAt:     now,
 		retryAt:    now.Add(retryEvery),
 	}
@@ -159,6 +160,15 @@
 // Changed tells whether View would differ from the one that it returned last.
 func (cr *Core) Changed() bool { return cr.viewStale }
 
+// Urgent tells whether View would differ in more than hints.
+func (cr *Core) Urgent() bool { return cr.viewUrgent }
+
+// outdate notes that the view has changed, in more than hints if it is urgent.
+func (cr *Core) outdate(urgent bool) {
+	cr.viewStale = true
+	cr.viewUrgent = cr.viewUrgent || urgent
+}
+
 // RumorsChanged tells whether Rumors would differ from what it returned last, and resets that.
 func (cr *Core) RumorsChanged() bool {
 	stale := cr.rumorsStale
@@ -168,7 +178,7 @@
 
 // View returns what the instance knows.
 func (cr *Core) View() *View {
-	cr.viewStale = false
+	cr.viewStale, cr.viewUrgent = false, false
 	var shown []*record
 	for _, rec := range cr.records {
 		if rec.member.Status != StatusLeft && cr.interesting(&rec.member, true) {
@@ -223,7 +233,7 @@
 		if rec != cr.self && (gone || idle) {
 			delete(cr.records, in)
 			cr.linksStale = true
-			cr.viewStale = true
+			cr.outdate(true)
 		}
 	}
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -29,6 +29,9 @@
 	// ringSize bounds the messages that wait for the core, callsMax the calls on their way.
 	ringSize = 1024
 	callsMax = 256
+	// viewPause is the least time between two views, hintViewPause where only hints have changed.
+	viewPause     = 20 * time.Millisecond
+	hintViewPause = time.Second
 	// spreadFor is how long news takes from the neighbours on to the whole fleet.
 	spreadFor = 300 * time.Millisecond
 	// partFor bounds the last words of an instance that stops.
@@ -62,6 +65,8 @@
 	mu          sync.Mutex
 	changed     chan struct{}
 	subscribers []func(*View)
+	// shown is when the last view was made; it belongs to run.
+	shown time.Time
 	// parting waits for the own record to reach all neighbours; it belongs to run.
 	parting []chan struct{}
 }
--- a/gossiper/loop.go
+++ b/gossiper/loop.go
@@ -73,13 +73,23 @@
 		"status", mb.Status, "boot", uint64(mb.Boot), "incarnation", mb.Incarnation)
 }
 
+// due reports whether it is time for a new view. One costs as much as there are members, and when many change at once
+// each would be followed by the next.
+func (gs *Gossiper) due() bool {
+	pause := hintViewPause
+	if gs.core.Urgent() {
+		pause = viewPause
+	}
+	return time.Since(gs.shown) >= pause
+}
+
 // publish makes changes known to who asked for them.
 func (gs *Gossiper) publish() {
 	rumors := gs.core.RumorsChanged()
 	if rumors {
 		gs.rumors.Store(newRumorList(gs.core.Rumors(""), time.Now()))
 	}
-	views := gs.core.Changed()
+	views := gs.core.Changed() && gs.due()
 	if !views && !rumors {
 		return
 	}
@@ -89,6 +99,7 @@
 	gs.changed = make(chan struct{})
 	if views {
 		gs.view.Store(gs.core.View())
+		gs.shown = time.Now()
 		gs.reportDomains(gs.view.Load())
 	}
 	gs.mu.Unlock()
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -100,7 +100,7 @@
 // changed draws the conclusions from a record that was added or replaced.
 func (cr *Core) changed(rec *record, old *Member, from gypsumhoist.Instance, urgent bool) {
 	if cr.interesting(&rec.member, true) || old != nil && cr.interesting(old, true) {
-		cr.viewStale = true
+		cr.outdate(urgent)
 	}
 	if urgent {
 		cr.linksStale = true
@@ -183,7 +183,7 @@
 func (cr *Core) publish(urgent bool) {
 	cr.self.sum = sumOf(&cr.self.member)
 	cr.self.changed = cr.now
-	cr.viewStale = true
+	cr.outdate(urgent)
 	cr.linksStale = cr.linksStale || urgent
 	cr.spread(cr.self, nil, "", urgent)
 }
--- a/gossiper/probe.go
+++ b/gossiper/probe.go
@@ -241,7 +241,7 @@
 	rec.member.Status = StatusAlive
 	rec.sum = sumOf(&rec.member)
 	cr.linksStale = true
-	cr.viewStale = true
+	cr.outdate(true)
 	mb := rec.member
 	mb.Status = StatusUnreachable
 	cr.do(Noticed{Member: mb})
@@ -257,7 +257,7 @@
 		}
 	}
 	cr.linksStale = true
-	cr.viewStale = true
+	cr.outdate(true)
 }
 
 // reached notes that a member answered this instance.
--- a/server/node.go
+++ b/server/node.go
@@ -179,10 +179,8 @@
 	nd.forwarder.SetUpstream(an.Address, nd.sv.upstreamThrough(an, nd.pool))
 }
 
-// loadFull is an announced load of all slots, in thousandths.
-const loadFull = 1000
-
-// publish tells the fleet about the upstream.
+// publish tells the fleet about the upstream. Load and cut-off stay out of it: entries learn them from answers, which are fresh,
+// and nothing chooses by what gossip could say of them seconds late.
 func (nd *node) publish(an announcer.Announcement) {
 	if an.Service == "" {
 		nd.sv.gossiper.Announce(gossiper.Upstream{})
@@ -190,7 +188,6 @@
 	}
 	nd.sv.gossiper.Announce(gossiper.Upstream{
 		Service: an.Service, State: gossipState(an.State), Slots: an.Slots, Connections: an.Connections,
-		Load: an.Load * loadFull / an.Slots, CutOff: nd.admitter.CutOff(),
 	})
 }
 
