--- a/allocator/draw.go
+++ b/allocator/draw.go
@@ -162,7 +162,7 @@
 		now := clocker.Now()
 		part, own := al.keeper.Lend(now, mb.Domain), al.keeper.Part(now)
 		al.mu.Unlock()
-		ctx, cancel := context.WithTimeout(al.tmb.Context(nil), reportTime)
+		ctx, cancel := context.WithTimeout(al.tmb.Context(nil), lendDoubt)
 		rq := &allocatorpb.LendRequest{FailureDomain: string(al.domain), Part: part}
 		_, err := allocatorpb.NewAllocatorClient(al.peers, al.peers.URL(mb.Peer)).Lend(ctx, connect.NewRequest(rq))
 		cancel()
@@ -179,9 +179,9 @@
 	}
 }
 
-// wholeTokens is the least part of a burst that a failure domain needs so that chance alone does not empty its bucket at nine
-// tenths of the rate; rows with less are kept whole.
-const wholeTokens = 32
+// wholeTokens is the least part of a burst, in tokens, with which a failure domain keeps a row by itself: it goes on at once in a
+// cut, while chance empties its bucket seldom enough for others to help out. Rows with less are kept whole.
+const wholeTokens = 16
 
 // layOut chooses the rows that are kept whole and their homes. The lock is held.
 func (al *Allocator) layOut() {
--- a/allocator/home.go
+++ b/allocator/home.go
@@ -106,7 +106,7 @@
 func (hm *Home) look(now time.Time, own float64) {
 	part := own
 	for _, ln := range hm.loans {
-		if now.Sub(ln.at) < touchHold {
+		if now.Sub(ln.at) < lendHold {
 			part += ln.part
 		}
 	}
--- a/allocator/lender.go
+++ b/allocator/lender.go
@@ -8,14 +8,18 @@
 
 // Times of what a domain lends to the home of rows that are kept whole.
 const (
-	// lendDoubt is how long a home may be silent until the domain begins to take its part back.
-	lendDoubt = time.Second
-	// lendEvery is how often a domain tells a home what it lends; several may be lost within lendDoubt and touchHold.
-	lendEvery = 400 * time.Millisecond
+	// lendLife is how long a domain leaves its part to a home after it last lent anything: as long as a cut keeps both from it.
+	lendLife = time.Second
+	// lendHold is how long a home counts what it was lent.
+	lendHold = lendLife - 100*time.Millisecond
+	// lendDoubt is how long a home may be silent until the domain lends nothing more.
+	lendDoubt = 300 * time.Millisecond
+	// lendEvery is how often a domain tells a home what it lends.
+	lendEvery = 200 * time.Millisecond
 )
 
-// lender is what a domain has lent to one home. A home counts what it was lent for touchHold; it may have got what it did
-// not answer, so that the domain goes on by itself only leaseLife after it last sent anything.
+// lender is what a domain has lent to one home. A home counts what it was lent for lendHold; it may have got what it did
+// not answer, so that the domain goes on by itself only lendLife after it last lent anything.
 type lender struct {
 	answered, sent time.Time
 }
@@ -33,7 +37,7 @@
 		return true
 	}
 	ln := kp.lenders[home]
-	return ln != nil && now.Sub(ln.sent) < leaseLife
+	return ln != nil && now.Sub(ln.sent) < lendLife
 }
 
 // Lend returns the part of every row that the domain tells a home that it lends, from now on. Nothing is lent to a home that has
