--- a/authenticator/calls.go
+++ b/authenticator/calls.go
@@ -24,6 +24,7 @@
 
 	nested  atomic.Bool
 	refused atomic.Bool
+	failed  atomic.Bool
 }
 
 // NoteNested notes that the upstream made a call of its own for this one.
@@ -32,6 +33,12 @@
 // Nested reports whether the upstream made a call of its own for this one.
 func (cl *Call[B]) Nested() bool { return cl.nested.Load() }
 
+// NoteFailed notes that a call of the upstream's own got no answer, or one that tells of a failure.
+func (cl *Call[B]) NoteFailed() { cl.failed.Store(true) }
+
+// Failed reports whether a call of the upstream's own failed, so that the upstream's failure is none of its own.
+func (cl *Call[B]) Failed() bool { return cl.failed.Load() }
+
 // NoteRefused notes that a call of the upstream's own was refused.
 func (cl *Call[B]) NoteRefused() { cl.refused.Store(true) }
 
--- a/connector/event.go
+++ b/connector/event.go
@@ -8,7 +8,7 @@
 	eventProbeFailed = logger.Define(1101, logger.LevelWarn, "upstream_probe_failed",
 		"Requests to an upstream brought no byte and a fresh connection was not answered either: the upstream hangs or is cut off.")
 	eventPeerSilent = logger.Define(1104, logger.LevelWarn, "peer_connection_silent",
-		"A connection to another instance brought no byte though it was asked for one; it was closed, and all others are asked too.")
+		"A connection to another instance brought no byte though it was asked for one; it was closed, and others are asked too.")
 	eventConnFailed = logger.Define(1103, logger.LevelInfo, "connection_failed",
 		"A connection was closed after an error: by the server, such as for a client that went silent, or to an upstream that wrote without being asked.")
 	eventServeFailed = logger.Define(1102, logger.LevelError, "listener_failed",
--- a/connector/peerpool.go
+++ b/connector/peerpool.go
@@ -16,7 +16,7 @@
 // PeerPool sends requests to other instances over shared HTTP/2 connections.
 // It uses no proxy, follows no redirect and never sends a request twice.
 // A connection on which nothing arrives though a request went out is asked, and closed without an answer,
-// so that a silent one is replaced after the two times that WithPing sets. Then all others are asked too.
+// so that a silent one is replaced after the two times that WithPing sets. Then others are asked too.
 // One without requests is left alone: a fleet has a connection for each pair of its nodes.
 // TLS is the Network's matter. A PeerPool is safe for concurrent use.
 type PeerPool struct {
@@ -29,7 +29,6 @@
 	conns  map[*peerConn]struct{}
 	// watching tells that look is about to be called.
 	watching bool
-	sweptAt  time.Time
 }
 
 var (
--- a/connector/peersilence.go
+++ b/connector/peersilence.go
@@ -85,19 +85,20 @@
 	return ctx.Err() != nil && at.over(pc) && !pc.heardSince(from)
 }
 
-// sweep asks all connections that have brought nothing for a while, as what silenced one may have silenced all.
+// sweepSample is how many other connections are asked when one was found silent. Each of them that is silent too has as many
+// more asked, so that one lost peer costs little and a silence of all is found in a few rounds.
+const sweepSample = 8
+
+// sweep asks some of the connections that have brought nothing for a while, as what silenced one may have silenced all.
 func (pp *PeerPool) sweep() {
-	now := time.Now()
+	before := time.Now().Add(-pp.config.pingAfter)
 	pp.mu.Lock()
-	if pp.closed || now.Sub(pp.sweptAt) < pp.config.pingAfter {
-		pp.mu.Unlock()
-		return
-	}
-	pp.sweptAt = now
 	open := slices.Collect(maps.Keys(pp.conns))
 	pp.mu.Unlock()
+	asked := 0
 	for _, pc := range open {
-		if !pc.heardSince(now.Add(-pp.config.pingAfter)) && pc.beginProbe() {
+		if asked < sweepSample && !pc.heardSince(before) && pc.beginProbe() {
+			asked++
 			go pc.runProbe()
 		}
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -17,39 +17,80 @@
 func since(cl *call) time.Duration { return time.Since(cl.started) }
 
 // attempts sends a request to one upstream after the other until one answers
-// or no further attempt is allowed.
+// or no further attempt is allowed. An upstream's answer that tells of a failure of its own may be followed by another
+// attempt; it stands where that one gets no answer.
 func (fw *Forwarder) attempts(ctx context.Context, req *http.Request, cl *call) (*reply, *gypsumhoist.Refusal) {
 	key := retrier.RowKey{Workspace: cl.workspace, Route: cl.row.Route}
 	fw.retrier.First(key)
-	var tried []gypsumhoist.Instance
-	var last *gypsumhoist.Refusal
-	sent, rerouted := 0, 0
+	tr := &trial{}
 	for no := uint32(1); ; no++ {
-		pk, err := fw.router.Pick(cl.service, cl.idempotent, tried...)
+		pk, err := fw.router.Pick(cl.service, cl.idempotent, tr.tried...)
 		if err != nil {
-			return nil, cmp.Or(last, asRefusal(err))
+			return tr.end(cl, asRefusal(err))
 		}
-		tried = append(tried, pk.Upstream.Instance)
+		tr.tried = append(tr.tried, pk.Upstream.Instance)
 		cl.record.Note("router", "picked", string(pk.Upstream.Instance))
 		rp, rf := fw.send(ctx, req, cl, &pk, no)
 		if rf == nil {
-			cl.passOn(rp)
-			return rp, nil
+			tr.sent++
+			if !fw.tryAgain(key, cl, rp, tr) {
+				cl.passOn(rp)
+				return rp, nil
+			}
+			cl.record.Note("forwarder", "attempt "+strconv.Itoa(int(no))+" answered "+strconv.Itoa(rp.rs.StatusCode), "")
+			rp.end(nil)
+			tr.failed = rp
+			continue
 		}
 		cl.record.Note("forwarder", "attempt "+strconv.Itoa(int(no))+" failed: "+string(rf.Reason), rf.Detail)
-		last = worst(rf, last)
-		if untouched(rf) && rerouted < reroutesMax && !fw.overloaded(cl, fw.router.View(cl.service).Upstreams) {
-			rerouted++
+		tr.last = worst(rf, tr.last)
+		if untouched(rf) && tr.rerouted < reroutesMax && !fw.overloaded(cl, fw.router.View(cl.service).Upstreams) {
+			tr.rerouted++
 			cl.record.Note("router", "rerouted", "")
 			continue
 		}
-		sent++
-		if cl.row.Attempts > 0 && sent >= cl.row.Attempts || !fw.retry(key, cl, rf, len(tried)) {
-			return nil, last
+		tr.sent++
+		if tr.spent(cl) || !fw.retry(key, cl, fw.failureOf(cl, rf, tr)) {
+			return tr.end(cl, rf)
 		}
 	}
 }
 
+// trial is what became of the attempts of a request so far.
+type trial struct {
+	tried          []gypsumhoist.Instance
+	last           *gypsumhoist.Refusal
+	failed         *reply // an upstream's own answer that tells of a failure
+	sent, rerouted int
+}
+
+// spent reports whether the row allows no further upstream to be tried.
+func (tr *trial) spent(cl *call) bool { return cl.row.Attempts > 0 && tr.sent >= cl.row.Attempts }
+
+// end returns the answer or refusal of a request that is tried no more.
+func (tr *trial) end(cl *call, rf *gypsumhoist.Refusal) (*reply, *gypsumhoist.Refusal) {
+	if tr.failed != nil {
+		cl.passOn(tr.failed)
+		return tr.failed, nil
+	}
+	return nil, cmp.Or(tr.last, rf)
+}
+
+// tryAgain reports whether an answer is dropped for a further attempt: one that tells of a failure which arose at the upstream
+// itself, as trying again where it began repeats the least work, and which is at hand whole, to be passed on after all.
+func (fw *Forwarder) tryAgain(key retrier.RowKey, cl *call, rp *reply, tr *trial) bool {
+	if !failure(rp.rs.StatusCode) || rp.rs.StatusCode == http.StatusGatewayTimeout || rp.childFailed() ||
+		!rp.whole && rp.rs.Body != http.NoBody || tr.spent(cl) {
+		return false
+	}
+	fl := fw.failureOf(cl, &gypsumhoist.Refusal{Verdict: gypsumhoist.VerdictRan}, tr)
+	fl.Answered = true
+	return fw.retry(key, cl, fl)
+}
+
+// failure reports whether a status tells of a failure of whoever gave it.
+func failure(status int) bool { return status >= http.StatusInternalServerError }
+
 // passOn tells the call that a nested call belongs to of a failure for too much load deeper down,
 // so that news of it reaches the entry of the chain however long that is.
 func (cl *call) passOn(rp *reply) {
@@ -75,20 +116,24 @@
 	}
 }
 
-// retry decides whether a failed attempt is followed by another.
-func (fw *Forwarder) retry(key retrier.RowKey, cl *call, rf *gypsumhoist.Refusal, tried int) bool {
+// failureOf returns what is known of a failed attempt.
+func (fw *Forwarder) failureOf(cl *call, rf *gypsumhoist.Refusal, tr *trial) retrier.Failure {
 	vw := fw.router.View(cl.service)
-	dec := fw.retrier.Decide(key, cl.row.RetryPercent, retrier.Failure{
+	return retrier.Failure{
 		Verdict:           rf.Verdict,
 		Reason:            rf.Reason,
 		Idempotent:        cl.idempotent,
 		BodySpent:         cl.body.spent(),
 		ServiceOverloaded: fw.overloaded(cl, vw.Upstreams),
-		Others:            vw.Upstreams - tried,
+		Others:            vw.Upstreams - len(tr.tried),
 		Remaining:         time.Until(cl.deadline),
 		Needed:            vw.Latency,
-	}, cl.budget)
-	switch dec := dec.(type) {
+	}
+}
+
+// retry decides whether a failed attempt is followed by another.
+func (fw *Forwarder) retry(key retrier.RowKey, cl *call, fl retrier.Failure) bool {
+	switch dec := fw.retrier.Decide(key, cl.row.RetryPercent, fl, cl.budget).(type) {
 	case retrier.GiveUp:
 		cl.record.Note("retrier", "no retry: "+dec.Cause.String(), "")
 		return false
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -35,7 +35,7 @@
 		at.refused(rf, at.fw.feedback(at.hop, 0))
 		return nil, rf
 	}
-	rp := &reply{rs: rn.rs, childRefused: rn.call.Refused()}
+	rp := &reply{rs: rn.rs, childRefused: rn.call.Refused(), childFailed: rn.call.Failed}
 	rp.done = func(err error) {
 		unspent := rn.end(err)
 		cancel()
@@ -71,7 +71,7 @@
 		_ = rs.Body.Close()
 		return nil, at.refused(refusalOf(fb), fb)
 	}
-	rp := &reply{rs: rs, childRefused: fb.GetChildRefused()}
+	rp := &reply{rs: rs, childRefused: fb.GetChildRefused(), childFailed: fb.GetChildFailed}
 	rp.done = func(err error) { at.answered(rs, lastFeedback(rs, fb), err) }
 	return rp, nil
 }
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -49,7 +49,7 @@
 		rp.end(nil)
 	}
 	head := fw.feedback(hop, unspent)
-	head.ChildRefused = rn.call.Refused()
+	head.ChildRefused, head.ChildFailed = rn.call.Refused(), rn.call.Failed()
 	wr.Header().Set(HeaderFeedback, encode(head))
 	if err := copyAnswer(wr, rp.rs); err != nil {
 		rp.end(err)
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -26,6 +26,8 @@
 	whole bool
 	// childRefused tells that a call of the upstream's own had been refused when the answer began.
 	childRefused bool
+	// childFailed tells whether a call of the upstream's own had failed by the time the head of the answer came.
+	childFailed func() bool
 }
 
 // end closes the answer and reports how it ended. Calls after the first do nothing.
@@ -93,6 +95,9 @@
 // answer passes a reply on to the caller.
 func (fw *Forwarder) answer(wr http.ResponseWriter, cl *call, rp *reply) {
 	wr.Header().Set(gypsumhoist.HeaderRequest, string(cl.id))
+	if cl.parent != nil && failure(rp.rs.StatusCode) {
+		cl.parent.NoteFailed()
+	}
 	err := copyAnswer(wr, rp.rs)
 	rp.end(err)
 	cl.record.Status = rp.rs.StatusCode
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -132,6 +132,7 @@
 	fw.meters.refused(rf.Reason)
 	if cl.parent != nil {
 		cl.parent.NoteRefused()
+		cl.parent.NoteFailed()
 	}
 	writeRefusal(wr, cl.id, rf)
 	fw.finish(cl, false)
--- a/logger/queue.go
+++ b/logger/queue.go
@@ -15,7 +15,7 @@
 // Bounds of a Queue.
 const (
 	queueBytes = 1 << 20 // that wait to be written
-	queuePause = 20 * time.Millisecond
+	queuePause = 100 * time.Millisecond
 )
 
 var eventDropped = Define(1051, LevelWarn, "log_lines_dropped",
--- a/retrier/decision.go
+++ b/retrier/decision.go
@@ -10,6 +10,8 @@
 type Failure struct {
 	Verdict gypsumhoist.Verdict
 	Reason  gypsumhoist.Reason
+	// Answered says that the upstream answered with a failure of its own; Verdict and Reason say nothing then.
+	Answered bool
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
 	// BodySpent says that the request's body is gone and can't be sent again.
@@ -68,9 +70,9 @@
 // It returns CauseNone if it does.
 func Judge(fl Failure) Cause {
 	switch {
-	case fl.Verdict == gypsumhoist.VerdictRan:
+	case fl.Answered && !fl.Idempotent, !fl.Answered && fl.Verdict == gypsumhoist.VerdictRan:
 		return CauseRan
-	case !retryable(fl.Reason):
+	case !fl.Answered && !retryable(fl.Reason):
 		return CauseFinal
 	case fl.Verdict != gypsumhoist.VerdictNotRun && !fl.Idempotent:
 		return CauseUncertain
