--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -13,6 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/allocator/allocatorpb"
 	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/logger"
@@ -58,7 +59,7 @@
 	tmb     tomb.Tomb
 	self    gypsumhoist.Instance
 	domain  gypsumhoist.FailureDomain
-	peers   connector.Peers
+	clients *connector.Clients[allocatorpb.AllocatorClient]
 	log     *logger.Logger
 	started time.Time
 	running atomic.Bool
@@ -96,7 +97,9 @@
 type Option func(*Allocator)
 
 // WithPeers sets the way to other nodes; without it the node keeps to its equal part.
-func WithPeers(pr connector.Peers) Option { return func(al *Allocator) { al.peers = pr } }
+func WithPeers(pr connector.Peers) Option {
+	return func(al *Allocator) { al.clients = connector.NewClients(pr, allocatorpb.NewAllocatorClient) }
+}
 
 // WithLogger writes log events; nil writes none.
 func WithLogger(lg *logger.Logger) Option { return func(al *Allocator) { al.log = lg } }
--- a/allocator/call.go
+++ b/allocator/call.go
@@ -92,7 +92,7 @@
 	}
 	ctx, cancel := context.WithTimeout(al.tmb.Context(nil), reportTime)
 	defer cancel()
-	rs, err := allocatorpb.NewAllocatorClient(al.peers, al.peers.URL(mb.Peer)).Report(ctx, connect.NewRequest(rq))
+	rs, err := al.clients.To(mb.Peer).Report(ctx, connect.NewRequest(rq))
 	if err != nil {
 		return nil, err
 	}
@@ -141,7 +141,7 @@
 	ctx, cancel := context.WithTimeout(al.tmb.Context(nil), reportTime)
 	defer cancel()
 	rq := &allocatorpb.GiveRequest{Lacking: toWire(lacking)}
-	rs, err := allocatorpb.NewAllocatorClient(al.peers, al.peers.URL(mb.Peer)).Give(ctx, connect.NewRequest(rq))
+	rs, err := al.clients.To(mb.Peer).Give(ctx, connect.NewRequest(rq))
 	if err != nil {
 		al.shun(mb.Instance, err)
 		return
--- a/allocator/draw.go
+++ b/allocator/draw.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, drawTime)
 	defer cancel()
 	rq := &allocatorpb.DrawRequest{Workspace: string(ky.Workspace), Route: ky.Route}
-	rs, err := allocatorpb.NewAllocatorClient(al.peers, al.peers.URL(mb.Peer)).Draw(ctx, connect.NewRequest(rq))
+	rs, err := al.clients.To(mb.Peer).Draw(ctx, connect.NewRequest(rq))
 	if err != nil {
 		// The client's error hides the context's.
 		return Drawn{}, errors.Join(err, ctx.Err())
@@ -164,7 +164,7 @@
 		al.mu.Unlock()
 		ctx, cancel := context.WithTimeout(al.tmb.Context(nil), lendDoubt)
 		rq := &allocatorpb.LendRequest{FailureDomain: string(al.domain), Part: part}
-		_, err := allocatorpb.NewAllocatorClient(al.peers, al.peers.URL(mb.Peer)).Lend(ctx, connect.NewRequest(rq))
+		_, err := al.clients.To(mb.Peer).Lend(ctx, connect.NewRequest(rq))
 		cancel()
 		if err != nil {
 			al.shun(mb.Instance, err)
--- a/gossiper/call.go
+++ b/gossiper/call.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/gossiper/gossiperpb"
 )
 
@@ -94,8 +95,10 @@
 	return unpackPacket(rsp.Msg), nil
 }
 
-func (gs *Gossiper) client(to netip.AddrPort) gossiperpb.GossiperClient {
-	return gossiperpb.NewGossiperClient(gs.config.peers, gs.config.peers.URL(to),
+func (gs *Gossiper) client(to netip.AddrPort) gossiperpb.GossiperClient { return gs.clients.To(to) }
+
+func newClients(peers connector.Peers) *connector.Clients[gossiperpb.GossiperClient] {
+	return connector.NewClients(peers, gossiperpb.NewGossiperClient,
 		connect.WithReadMaxBytes(messageMax),
 		connect.WithSendGzip(),
 		connect.WithCompressMinBytes(compressFrom))
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -19,6 +19,7 @@
 
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/connector"
+	"github.com/gypsumhoist/gypsumhoist/gossiper/gossiperpb"
 	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/ringer"
 )
@@ -52,9 +53,11 @@
 type Gossiper struct {
 	config config
 	core   *Core
-	ring   *ringer.Ring[event]
-	tomb   tomb.Tomb
-	calls  atomic.Int64
+	// clients speak to other instances.
+	clients *connector.Clients[gossiperpb.GossiperClient]
+	ring    *ringer.Ring[event]
+	tomb    tomb.Tomb
+	calls   atomic.Int64
 	// started tells that run has begun, or is about to.
 	started atomic.Bool
 	stop    sync.Once
@@ -85,6 +88,7 @@
 	cf := newConfig(opts)
 	gs := &Gossiper{
 		config:  cf,
+		clients: newClients(cf.peers),
 		core:    NewCore(cf.self, cf.seeds, cf.rand, time.Now()),
 		ring:    ringer.New[event](ringSize),
 		changed: make(chan struct{}),
