--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -31,7 +31,7 @@
 	ringSize = 1024
 	callsMax = 256
 	// viewPause is the least time between two views, hintViewPause where only hints have changed.
-	viewPause     = 20 * time.Millisecond
+	viewPause     = 100 * time.Millisecond
 	hintViewPause = time.Second
 	// spreadFor is how long news takes from the neighbours on to the whole fleet.
 	spreadFor = 300 * time.Millisecond
