--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -41,6 +41,10 @@
 		"The node that shares out rates gave no answer; the next one is asked, and without any this node keeps to its equal part.")
 	eventStandby = logger.Define(1752, logger.LevelWarn, "rate_standby_began",
 		"No keeper of rates answers; this node keeps to an equal part of each rate and burst until one does.")
+	eventPartLent = logger.Define(1754, logger.LevelInfo, "rate_part_lent",
+		"This failure domain leaves its part of the rows that are kept whole at another one to that one.")
+	eventPartTaken = logger.Define(1755, logger.LevelWarn, "rate_part_taken_back",
+		"The home of rows that are kept whole gives no answer; this failure domain keeps to its own part of them until it does.")
 	eventLeased = logger.Define(1753, logger.LevelInfo, "rate_standby_ended", "A keeper of rates answers again.")
 )
 
@@ -82,11 +86,13 @@
 	// homeDomains are the failure domains that keep rows whole now.
 	homeDomains []gypsumhoist.FailureDomain
 	lendAt      time.Time
-	members     map[gypsumhoist.FailureDomain][]Member // in the order in which they are their domain's keeper
-	limits      map[Key]Limit
-	avoid       map[gypsumhoist.Instance]time.Time
-	last        gypsumhoist.Instance
-	news        chan struct{} // closed when tokens have come
+	// lends are the homes to which the domain leaves its part.
+	lends   map[gypsumhoist.FailureDomain]bool
+	members map[gypsumhoist.FailureDomain][]Member // in the order in which they are their domain's keeper
+	limits  map[Key]Limit
+	avoid   map[gypsumhoist.Instance]time.Time
+	last    gypsumhoist.Instance
+	news    chan struct{} // closed when tokens have come
 	// fetchAfter is when the domain may ask others again as a request found no token.
 	fetchAfter time.Time
 	// gained is when another domain last gave anything.
@@ -121,7 +127,7 @@
 	started := clocker.Now()
 	al := &Allocator{
 		self: self, domain: domain, started: started, urgent: make(chan struct{}, 1), needy: make(chan struct{}, 1),
-		keeper: NewKeeper(domain), home: NewHome(), limits: map[Key]Limit{}, avoid: map[gypsumhoist.Instance]time.Time{},
+		keeper: NewKeeper(domain), home: NewHome(), lends: map[gypsumhoist.FailureDomain]bool{}, limits: map[Key]Limit{}, avoid: map[gypsumhoist.Instance]time.Time{},
 		news: make(chan struct{}), taken: &metrics.Counter{}, refused: &metrics.Counter{},
 		draws: &metrics.Counter{}, drawsAway: &metrics.Counter{},
 	}
--- a/allocator/doc.go
+++ b/allocator/doc.go
@@ -1,6 +1,6 @@
 // Package allocator keeps rows to rate and burst over the fleet without agreement.
 //
-// Each failure domain owns a part of every rate and burst by the number of its nodes. One node of the domain, the keeper,
+// Each failure domain owns an equal part of every rate and burst. One node of the domain, the keeper,
 // holds that part as a bucket of tokens and hands them to the nodes as their requests need them, some in advance for a node
 // that needs many. The keeper is a choice by name among those that gossip takes for alive. It holds no state that must
 // last: a new one begins with an empty bucket, which fills at the rate at once.
@@ -11,5 +11,8 @@
 //
 // A domain that lacks tokens asks the others for some. A cut-off domain goes on with its own part.
 //
-// Keeper is pure; Allocator is its owner, together with the purses of the node.
+// Rows too small for that are kept whole: each domain lends its part to one of them, the row's home, whose keeper has one
+// bucket for the fleet (Home), and takes it back when it hears nothing from there.
+//
+// Keeper and Home are pure; Allocator is its owner, together with the purses of the node.
 package allocator
--- a/allocator/draw.go
+++ b/allocator/draw.go
@@ -168,17 +168,33 @@
 		cancel()
 		if err != nil {
 			al.shun(mb.Instance, err)
+			al.noteLent(mb, false)
 			return
 		}
 		al.mu.Lock()
 		al.keeper.Lent(now, mb.Domain)
 		al.mu.Unlock()
+		al.noteLent(mb, part > 0)
 		if part > 0 || own == 0 {
 			return
 		}
 	}
 }
 
+// noteLent logs when the domain begins or ends to leave its part to a home.
+func (al *Allocator) noteLent(mb Member, on bool) {
+	al.mu.Lock()
+	changed := al.lends[mb.Domain] != on
+	al.lends[mb.Domain] = on
+	al.mu.Unlock()
+	switch {
+	case changed && on:
+		al.log.Log(eventPartLent, "home", mb.Domain, "keeper", mb.Instance)
+	case changed:
+		al.log.Log(eventPartTaken, "home", mb.Domain, "keeper", mb.Instance)
+	}
+}
+
 // wholeTokens is the least part of a burst, in tokens, with which a failure domain keeps a row by itself: it goes on at once in a
 // cut, while chance empties its bucket seldom enough for others to help out. Rows with less are kept whole.
 const wholeTokens = 16
--- a/connector/peersilence.go
+++ b/connector/peersilence.go
@@ -20,10 +20,6 @@
 func (pp *PeerPool) watch() {
 	pp.mu.Lock()
 	defer pp.mu.Unlock()
-	pp.watchLocked()
-}
-
-func (pp *PeerPool) watchLocked() {
 	if pp.watching || pp.closed {
 		return
 	}
--- a/logger/queue.go
+++ b/logger/queue.go
@@ -14,8 +14,8 @@
 
 // Bounds of a Queue.
 const (
-	queueBytes = 1 << 20 // that wait to be written
-	queuePause = 100 * time.Millisecond
+	queueBytes = 1 << 20                // that wait to be written
+	queuePause = 100 * time.Millisecond // between two writes; a process that is killed loses as much
 )
 
 var eventDropped = Define(1051, LevelWarn, "log_lines_dropped",
