--- a/connector/silence_test.go
+++ b/connector/silence_test.go
@@ -1,6 +1,7 @@
 package connector_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -292,3 +293,56 @@
 		g.Expect(toSecond(100 * time.Millisecond)).To(Succeed())
 	}))
 })
+
+var _ = Describe("An upstream that neither answers nor queues a request", func() {
+	It("costs that request only, as its connection is not used again", bubble(func(g Gomega) {
+		nw := emulator.New()
+		ln, err := nw.Host(serverAddr, "d").Listen(serverPort)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer ln.Close()
+		asked := make(chan int, 20)
+		go func() {
+			for number := 0; ; number++ {
+				cn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go serveFrom(cn, number, asked)
+			}
+		}()
+		up := connector.NewUpstreamPool(serverPort, connector.WithNetwork(nw.Host(clientAddr, "d")))
+		up.Start()
+		defer up.Stop()
+		from := time.Now()
+		g.Expect(connector.VerdictOf(call(up, 0, 300*time.Millisecond))).To(Equal(gypsumhoist.VerdictMayHaveRun))
+		g.Expect(time.Since(from)).To(BeNumerically("~", 300*time.Millisecond, 10*time.Millisecond))
+		for range 5 {
+			g.Expect(call(up, 0, 300*time.Millisecond)).To(Succeed())
+		}
+		close(asked)
+		onFirst := 0
+		for number := range asked {
+			if number == 0 {
+				onFirst++
+			}
+		}
+		g.Expect(onFirst).To(Equal(1))
+	}))
+})
+
+// serveFrom answers the requests of a connection; those of the first one never.
+func serveFrom(cn net.Conn, number int, asked chan<- int) {
+	defer cn.Close()
+	rd := bufio.NewReader(cn)
+	for {
+		req, err := http.ReadRequest(rd)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		asked <- number
+		if number > 0 {
+			_, _ = io.WriteString(cn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
