--- a/server/control.go
+++ b/server/control.go
@@ -46,7 +46,9 @@
 	state  *registrar.State
 	group  atomic.Pointer[replicator.Group]
 	wanted chan replicator.Member
-	sheet  atomic.Pointer[registrar.Sheet]
+	// introduced belongs to loop.
+	introduced introductions
+	sheet      atomic.Pointer[registrar.Sheet]
 }
 
 // sheetNow returns the sheet in force in the state that this instance has applied.
@@ -65,7 +67,7 @@
 }
 
 func newControl(sv *Server, holder *registrar.Holder) *control {
-	return &control{sv: sv, holder: holder, state: registrar.NewState(), wanted: make(chan replicator.Member, 16)}
+	return &control{sv: sv, holder: holder, state: registrar.NewState(), wanted: make(chan replicator.Member, 16), introduced: introductions{}}
 }
 
 // Apply implements replicator.Machine.
@@ -245,24 +247,8 @@
 	return slices.DeleteFunc(slices.Compact(addrs), func(ap netip.AddrPort) bool { return ap == ct.sv.settings.Listen.Peers })
 }
 
-// lostSeat returns the seat of a member of another one's failure domain whose instance nobody reaches any more.
-func (ct *control) lostSeat(sts replicator.Seats, next replicator.Member) (replicator.Member, bool) {
-	vw := ct.sv.gossiper.View()
-	nb, known := vw.Member(next.Instance)
-	if !known {
-		return replicator.Member{}, false
-	}
-	for _, se := range sts {
-		mb, seen := vw.Member(se.Member.Instance)
-		if seen && mb.Domain == nb.Domain && mb.Status >= gossiper.StatusUnreachable {
-			return se.Member, true
-		}
-	}
-	return replicator.Member{}, false
-}
-
-// seat gives a member that introduced itself a vote: in place of its earlier identity when its disk was lost,
-// or of a lost one of its failure domain, else, step by step, as one more. What can't be done in time is taken up when it introduces itself again.
+// seat gives a member that introduced itself a seat or a vote, a step at a time. What can't be done in time is taken up when it
+// introduces itself again.
 func (ct *control) seat(mb replicator.Member) {
 	gp := ct.group.Load()
 	if gp == nil {
@@ -273,19 +259,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ct.sv.tmb.Context(nil), repairPatience)
 	defer cancel()
-	se, seated := gp.Members().Find(mb.ID())
-	old, replaces := oldSeat(gp.Members(), mb)
-	if !replaces && !(seated && se.Voter) {
-		old, replaces = ct.lostSeat(gp.Members(), mb)
-	}
-	switch {
-	case replaces:
+	step, old := seating{
+		seats: gp.Members(), member: mb, find: ct.sv.gossiper.View().Member, waited: ct.introduced.waited(mb, time.Now()),
+	}.next()
+	switch step {
+	case seatReplace:
 		if gp.Replace(ctx, old, mb) == nil {
-			ct.sv.logger.Log(eventReplaced, "member", mb.Instance, "boot", mb.Boot)
+			ct.sv.logger.Log(eventReplaced, "member", mb.Instance, "boot", mb.Boot, "old", old.Instance)
 		}
-	case !seated && gp.Members().Voters() < controlMost:
+	case seatAdd:
 		_ = gp.Add(ctx, mb)
-	case seated && !se.Voter:
+	case seatPromote:
 		_ = gp.Promote(ctx, mb)
 	}
 }
@@ -319,13 +303,3 @@
 	id := registrar.EditID("control/" + rand.Text())
 	_, _ = ct.Propose(ctx, registrar.EncodeCommand(id, cmd))
 }
-
-// oldSeat returns the seat of an earlier identity of a member's instance.
-func oldSeat(sts replicator.Seats, mb replicator.Member) (replicator.Member, bool) {
-	for _, se := range sts {
-		if se.Member.Instance == mb.Instance && se.Member.Boot != mb.Boot {
-			return se.Member, true
-		}
-	}
-	return replicator.Member{}, false
-}
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/gossiper"
 	"github.com/gypsumhoist/gypsumhoist/loader"
+	"github.com/gypsumhoist/gypsumhoist/replicator"
 	"github.com/gypsumhoist/gypsumhoist/sharder"
 )
 
@@ -28,3 +30,18 @@
 	_, err := tcpNetwork(st)
 	return err
 }
+
+// Steps of NextSeat.
+const (
+	SeatNone    = seatNone
+	SeatAdd     = seatAdd
+	SeatPromote = seatPromote
+	SeatReplace = seatReplace
+)
+
+// NextSeat shows tests what a leader does for a member that introduced itself first so long ago.
+func NextSeat(
+	sts replicator.Seats, mb replicator.Member, find func(gypsumhoist.Instance) (gossiper.Member, bool), waited time.Duration,
+) (seatStep, replicator.Member) {
+	return seating{seats: sts, member: mb, find: find, waited: waited}.next()
+}
