--- a/server/control.go
+++ b/server/control.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/gossiper"
 	"github.com/gypsumhoist/gypsumhoist/journaler"
 	"github.com/gypsumhoist/gypsumhoist/logger"
@@ -35,6 +36,8 @@
 		"The founders of the table's log were not all up in time; start all that the settings name.")
 	eventReplaced = logger.Define(1023, logger.LevelWarn, "control_member_replaced",
 		"A control instance came back without its disk and has a new seat; the old one is gone.")
+	eventSeatTaken = logger.Define(1025, logger.LevelWarn, "control_seat_taken",
+		"A control instance said farewell and did not come back while another one of its failure domain votes; its seat is gone.")
 	eventReopened = logger.Define(1024, logger.LevelWarn, "control_reopened",
 		"The journal of the table's log had failed and was opened anew; err says why it can't be opened yet.")
 )
@@ -46,8 +49,9 @@
 	state  *registrar.State
 	group  atomic.Pointer[replicator.Group]
 	wanted chan replicator.Member
-	// introduced belongs to loop.
+	// introduced and gone belong to loop.
 	introduced introductions
+	gone       farewells
 	sheet      atomic.Pointer[registrar.Sheet]
 }
 
@@ -67,7 +71,7 @@
 }
 
 func newControl(sv *Server, holder *registrar.Holder) *control {
-	return &control{sv: sv, holder: holder, state: registrar.NewState(), wanted: make(chan replicator.Member, 16), introduced: introductions{}}
+	return &control{sv: sv, holder: holder, state: registrar.NewState(), wanted: make(chan replicator.Member, 16), introduced: introductions{}, gone: farewells{}}
 }
 
 // Apply implements replicator.Machine.
@@ -260,7 +264,7 @@
 	ctx, cancel := context.WithTimeout(ct.sv.tmb.Context(nil), repairPatience)
 	defer cancel()
 	step, old := seating{
-		seats: gp.Members(), member: mb, find: ct.sv.gossiper.View().Member, waited: ct.introduced.waited(mb, time.Now()),
+		seats: gp.Members(), member: mb, find: ct.find, waited: ct.introduced.waited(mb, time.Now()),
 	}.next()
 	switch step {
 	case seatReplace:
@@ -274,6 +278,19 @@
 	}
 }
 
+// find returns what gossip knows of a control instance, or its last known domain where it has left.
+func (ct *control) find(in gypsumhoist.Instance) (gossiper.Member, bool) {
+	if mb, known := ct.sv.gossiper.View().Member(in); known {
+		return mb, true
+	}
+	for _, cm := range ct.holder.Current().Controls() {
+		if cm.Instance == in {
+			return gossiper.Member{Instance: in, Domain: cm.Domain, Status: gossiper.StatusLeft}, true
+		}
+	}
+	return gossiper.Member{}, false
+}
+
 // list notes in the table who has a seat, for operators and for nodes that look for control instances.
 func (ct *control) list() {
 	gp := ct.group.Load()
@@ -282,6 +299,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ct.sv.tmb.Context(nil), repairPatience)
 	defer cancel()
+	if mb, over := ct.gone.over(gp.Members(), ct.find, time.Now()); over && gp.Remove(ctx, mb) == nil {
+		ct.sv.logger.Log(eventSeatTaken, "member", mb.Instance, "boot", mb.Boot)
+	}
 	listed := ct.holder.Current().Controls()
 	for _, se := range gp.Members() {
 		mb, known := ct.sv.gossiper.View().Member(se.Member.Instance)
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -45,3 +45,13 @@
 ) (seatStep, replicator.Member) {
 	return seating{seats: sts, member: mb, find: find, waited: waited}.next()
 }
+
+// Farewells shows tests which seats a leader takes away.
+type Farewells = farewells
+
+// Over returns the member whose seat is taken away now.
+func Over(
+	fw Farewells, sts replicator.Seats, find func(gypsumhoist.Instance) (gossiper.Member, bool), now time.Time,
+) (replicator.Member, bool) {
+	return fw.over(sts, find, now)
+}
--- a/server/seating.go
+++ b/server/seating.go
@@ -26,7 +26,7 @@
 type seating struct {
 	seats  replicator.Seats
 	member replicator.Member
-	// find returns what gossip knows of an instance.
+	// find returns what gossip knows of an instance; one that it does not show, but that the table lists, has left.
 	find func(gypsumhoist.Instance) (gossiper.Member, bool)
 	// waited is how long ago the member introduced itself first.
 	waited time.Duration
@@ -42,7 +42,7 @@
 	if seated && se.Voter {
 		return seatNone, replicator.Member{}
 	}
-	if old, ok := sg.neighbour(func(_ replicator.Seat, mb gossiper.Member) bool { return mb.Status >= gossiper.StatusUnreachable }); ok {
+	if old, ok := sg.neighbour(func(_ replicator.Seat, mb gossiper.Member) bool { return sg.gone(mb.Status) }); ok {
 		return seatReplace, old
 	}
 	_, neighbour := sg.neighbour(func(se replicator.Seat, _ gossiper.Member) bool { return se.Voter })
@@ -56,6 +56,12 @@
 	}
 }
 
+// gone reports whether a member of that status is not to come back. One that said farewell may be restarted, and a leader that has just
+// started has not heard of all: both show within the time that a newcomer waits.
+func (sg seating) gone(st gossiper.Status) bool {
+	return st == gossiper.StatusUnreachable || st == gossiper.StatusLeft && sg.waited >= promoteAfter
+}
+
 // neighbour returns another member of the failure domain that fits.
 func (sg seating) neighbour(fits func(replicator.Seat, gossiper.Member) bool) (replicator.Member, bool) {
 	own, known := sg.find(sg.member.Instance)
@@ -98,3 +104,33 @@
 	}
 	return now.Sub(first)
 }
+
+// farewellFor is how long a control instance must have been gone after its farewell until its seat is taken away: a restart takes less.
+const farewellFor = 6 * time.Second
+
+// farewells remembers since when members with a seat have been gone after a farewell.
+type farewells map[replicator.MemberID]time.Time
+
+// over returns a member whose seat is to be taken away: one that has been gone for long enough, and for which another one of its failure
+// domain votes, as after a planned replacement.
+func (fw farewells) over(
+	sts replicator.Seats, find func(gypsumhoist.Instance) (gossiper.Member, bool), now time.Time,
+) (replicator.Member, bool) {
+	for _, se := range sts {
+		mb, known := find(se.Member.Instance)
+		if !known || mb.Status != gossiper.StatusLeft {
+			delete(fw, se.Member.ID())
+			continue
+		}
+		if _, noted := fw[se.Member.ID()]; !noted {
+			fw[se.Member.ID()] = now
+		}
+		_, follows := seating{seats: sts, member: se.Member, find: find}.neighbour(func(other replicator.Seat, on gossiper.Member) bool {
+			return other.Voter && on.Status == gossiper.StatusAlive
+		})
+		if follows && now.Sub(fw[se.Member.ID()]) >= farewellFor {
+			return se.Member, true
+		}
+	}
+	return replicator.Member{}, false
+}
