prober, router, connector: what can't be reached is known apart from what fails

Cause: in a cut each service of each node found out by its own failed requests that two of three domains were gone: 2 s to open a connection, 1 s until an open one was asked and 1 s for its answer, five failures before an ejection, at most half ejected, panic bringing all back, and a retry of the row drawn for each. An upstream whose node was started anew counted as cold for 10 s though it had never stopped, and one whose node was about to stop was out of every draw at once.

Change: `prober` takes what connections meet (opened, refused, timed out, silent, any byte), bounds them by observed round trips, concludes a lost domain from two witnesses and probes off the requests' path; `router` leaves out what can't be reached, without a cap; a call without a connection goes on at no cost. Silent connections are left out early and closed as late as before. A stopping node's upstream takes what nobody else has room for until the node refuses, 1.5 s after its farewell. Upstreams may say since when they run; a slow start lasts as long as the warming that was seen.

--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -46,6 +46,8 @@
 	Load int `json:"load"`
 	// Boot tells two processes of one upstream apart; it may be left out.
 	Boot string `json:"boot"`
+	// Started is when the upstream started; it may be left out. Without it an upstream whose node starts anew counts as cold.
+	Started time.Time `json:"started"`
 }
 
 // ValueError says which value of an announcement is not allowed.
--- a/connector/options.go
+++ b/connector/options.go
@@ -47,12 +47,14 @@
 	maxStreams        int
 	peers             bool
 	pipelining        bool
+	paths             Paths
 	answerCheck       func(*http.Request, *http.Response) error
 }
 
 func newConfig(opts []Option) config {
 	cf := config{
 		network:           &TCP{},
+		paths:             anyPath{},
 		answerCheck:       func(*http.Request, *http.Response) error { return nil },
 		dialTimeout:       DefaultDialTimeout,
 		idleTimeout:       DefaultIdleTimeout,
@@ -104,8 +106,17 @@
 	return func(cf *config) { positive(&cf.idleTimeout, d) }
 }
 
-// WithPing sets after how long without a byte an HTTP/2 connection is pinged,
-// and how long the pong may take before the connection is closed.
+// WithPaths sets what hears of each way to another instance that a PeerPool finds open or silent; nil keeps nobody.
+func WithPaths(pa Paths) Option {
+	return func(cf *config) {
+		if pa != nil {
+			cf.paths = pa
+		}
+	}
+}
+
+// WithPing sets after how long without a byte an HTTP/2 connection is pinged at the latest,
+// and how long after that time the connection is closed without a pong.
 func WithPing(after, timeout time.Duration) Option {
 	return func(cf *config) {
 		positive(&cf.pingAfter, after)
--- a/connector/peerconn.go
+++ b/connector/peerconn.go
@@ -3,15 +3,24 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/gypsumhoist/gypsumhoist/estimator"
+)
+
+// Bounds of the time without a byte after which a connection that waits is asked.
+const (
+	gapLeast   = 100 * time.Millisecond
+	gapUnknown = 500 * time.Millisecond
 )
 
 // peerConn is a connection of a PeerPool that knows what it waits for. Its pool closes it with itself.
 type peerConn struct {
 	net.Conn
 	pool *PeerPool
-	addr string
+	to   netip.AddrPort
 
 	mu sync.Mutex
 	// read is when the last byte came, asked when the first request since then went out; zero for none.
@@ -19,19 +28,30 @@
 	// busy counts requests without a whole answer.
 	busy    int
 	probing bool
+	// gap is how long something that was asked for usually takes to bring a byte.
+	gap estimator.RoundTrip
 }
 
 // Read implements net.Conn.
 func (pc *peerConn) Read(buf []byte) (int, error) {
 	n, err := pc.Conn.Read(buf)
 	if n > 0 {
-		pc.mu.Lock()
-		pc.read, pc.asked = time.Now(), time.Time{}
-		pc.mu.Unlock()
+		pc.note(time.Now())
+		pc.pool.config.paths.Heard(pc.to)
 	}
 	return n, err
 }
 
+// note takes the time of bytes that came.
+func (pc *peerConn) note(now time.Time) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if !pc.asked.IsZero() {
+		pc.gap.Learn(now.Sub(pc.asked))
+	}
+	pc.read, pc.asked = now, time.Time{}
+}
+
 // Close implements net.Conn.
 func (pc *peerConn) Close() error {
 	pc.pool.mu.Lock()
@@ -58,15 +78,16 @@
 	pc.busy--
 }
 
-// waits reports whether anything should come, and since when nothing has.
-func (pc *peerConn) waits() (time.Time, bool) {
+// waits reports whether anything should come, since when nothing has, and after how long that is unusual.
+func (pc *peerConn) waits(most time.Duration) (since time.Time, overdue time.Duration, waits bool) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	since := pc.read
+	since = pc.read
 	if pc.asked.After(since) {
 		since = pc.asked
 	}
-	return since, pc.busy > 0 || !pc.asked.IsZero()
+	limits := estimator.Limits{Least: min(gapLeast, most), Most: most, Unknown: min(gapUnknown, most)}
+	return since, pc.gap.Bound(limits), pc.busy > 0 || !pc.asked.IsZero()
 }
 
 // heardSince reports whether a byte has come since a time.
--- a/connector/peerpool.go
+++ b/connector/peerpool.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"context"
 	"maps"
 	"net"
 	"net/http"
@@ -93,30 +92,15 @@
 	pp.transport.CloseIdleConnections()
 }
 
-func (pp *PeerPool) dial(ctx context.Context, _, addr string) (net.Conn, error) {
-	to, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, pp.config.dialTimeout)
-	defer cancel()
-	pp.dials.Inc()
-	cn, err := pp.config.network.Dial(ctx, to)
-	if err != nil {
-		return nil, err
-	}
-	return pp.keep(cn, addr)
-}
-
 // keep notes a new connection, or closes it where the pool is closed.
-func (pp *PeerPool) keep(cn net.Conn, addr string) (net.Conn, error) {
+func (pp *PeerPool) keep(cn net.Conn, to netip.AddrPort) (net.Conn, error) {
 	pp.mu.Lock()
 	defer pp.mu.Unlock()
 	if pp.closed {
 		_ = cn.Close()
 		return nil, net.ErrClosed
 	}
-	pc := &peerConn{Conn: cn, pool: pp, addr: addr, read: time.Now()}
+	pc := &peerConn{Conn: cn, pool: pp, to: to, read: time.Now()}
 	pp.conns[pc] = struct{}{}
 	return pc, nil
 }
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -30,6 +30,10 @@
 	Shutdown(ctx context.Context) error
 }
 
+// workMost is how long a process that leaves takes work of other instances:
+// a few seconds after its farewell an upstream gets no more.
+const workMost = 1500 * time.Millisecond
+
 // Drainer counts the requests of a process and ends it in steps.
 // It is safe for concurrent use. The zero value is not usable; call New.
 type Drainer struct {
@@ -54,8 +58,8 @@
 	return func(dr *Drainer) { dr.leave = fn }
 }
 
-// WithRefuse sets what makes the process refuse work from other instances; it is called at the end of the grace,
-// before the last requests are waited for.
+// WithRefuse sets what makes the process refuse work from other instances; it is called before the end of the grace,
+// in which the clients' requests are still taken and go to other instances.
 func WithRefuse(fn func()) Option { return func(dr *Drainer) { dr.refuse = fn } }
 
 // New returns a drainer of a process that does not leave.
@@ -101,15 +105,13 @@
 	for _, pt := range ports {
 		pt.Drain()
 	}
-	over := time.NewTimer(grace)
-	defer over.Stop()
+	over := time.Now().Add(grace)
+	refuseAt := time.Now().Add(min(grace, workMost))
 	// What could not be told to all in time is told by the refusals of the closed port.
 	_ = dr.leave(ctx)
-	select {
-	case <-over.C:
-	case <-ctx.Done():
-	}
+	sleepUntil(ctx, refuseAt)
 	dr.refuse()
+	sleepUntil(ctx, over)
 	for _, pt := range ports {
 		if err := pt.Shutdown(ctx); err != nil {
 			dr.logger.Log(eventCutOff, "in_flight", dr.InFlight(), "err", err)
@@ -124,6 +126,16 @@
 	return nil
 }
 
+// sleepUntil returns at a time, or when the context ends.
+func sleepUntil(ctx context.Context, at time.Time) {
+	over := time.NewTimer(time.Until(at))
+	defer over.Stop()
+	select {
+	case <-over.C:
+	case <-ctx.Done():
+	}
+}
+
 func (dr *Drainer) begin() {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
--- /dev/null
+++ b/estimator/doc.go
@@ -0,0 +1,2 @@
+// Package estimator tells from measured times when an answer is overdue.
+package estimator
--- a/examples/upstream/main.go
+++ b/examples/upstream/main.go
@@ -43,6 +43,7 @@
 	State       string         `json:"state"`
 	Load        int            `json:"load"`
 	Boot        string         `json:"boot"`
+	Started     time.Time      `json:"started"`
 }
 
 // upstream is one process of a service.
@@ -52,11 +53,12 @@
 	node    netip.AddrPort
 	next    string
 	boot    string
+	started time.Time
 	load    atomic.Int64
 }
 
 func main() {
-	us := &upstream{boot: strconv.FormatInt(time.Now().UnixNano(), 10)}
+	us := &upstream{boot: strconv.FormatInt(time.Now().UnixNano(), 10), started: time.Now()}
 	flag.StringVar(&us.service, "service", "slips", "service that this upstream answers")
 	flag.TextVar(&us.listen, "listen", netip.MustParseAddrPort("127.0.0.1:9000"), "loopback address of this upstream")
 	flag.TextVar(&us.node, "node", netip.MustParseAddrPort("127.0.0.1:7401"), "upstream's side of the node beside it")
@@ -120,7 +122,7 @@
 func (us *upstream) announce(state string) {
 	data, err := json.Marshal(announcement{
 		Service: us.service, Address: us.listen, Slots: slots, Connections: 4 * slots,
-		State: state, Load: int(us.load.Load()), Boot: us.boot,
+		State: state, Load: int(us.load.Load()), Boot: us.boot, Started: us.started,
 	})
 	if err != nil {
 		log.Print(err)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -44,7 +44,7 @@
 		}
 		cl.record.Note("forwarder", "attempt "+strconv.Itoa(int(no))+" failed: "+string(rf.Reason), rf.Detail)
 		tr.last = worst(rf, tr.last)
-		if untouched(rf) && tr.rerouted < reroutesMax && !fw.overloaded(cl, fw.router.View(cl.service).Upstreams) {
+		if untouched(rf) && tr.rerouted < reroutesMax && !fw.overloaded(cl, fw.router.View(cl.service).Upstreams) && !cl.body.spent() {
 			tr.rerouted++
 			cl.record.Note("router", "rerouted", "")
 			continue
@@ -109,7 +109,7 @@
 		return false
 	}
 	switch rf.Reason {
-	case gypsumhoist.ReasonOverload, gypsumhoist.ReasonLeaving, gypsumhoist.ReasonNoUpstream:
+	case gypsumhoist.ReasonOverload, gypsumhoist.ReasonLeaving, gypsumhoist.ReasonNoUpstream, gypsumhoist.ReasonConnection:
 		return true
 	default:
 		return false
@@ -125,7 +125,7 @@
 		Idempotent:        cl.idempotent,
 		BodySpent:         cl.body.spent(),
 		ServiceOverloaded: fw.overloaded(cl, vw.Upstreams),
-		Others:            vw.Upstreams - len(tr.tried),
+		Others:            fw.router.Left(cl.service, tr.tried...),
 		Remaining:         time.Until(cl.deadline),
 		Needed:            vw.Latency,
 	}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -100,6 +100,9 @@
 		oc.Result = router.ResultNeutral
 	}
 	if rf.Verdict == gypsumhoist.VerdictNotRun {
+		// That no connection was found is for those who watch connections, and says nothing of the upstream.
+		oc.Result = router.ResultNeutral
+		rf.Untouched = true
 		at.share.Return(at.share.Retries())
 	}
 	at.pick.Done(oc)
@@ -200,8 +203,10 @@
 
 func refusalResult(rf *gypsumhoist.Refusal) router.Result {
 	switch rf.Reason {
-	case gypsumhoist.ReasonOverload, gypsumhoist.ReasonLeaving:
+	case gypsumhoist.ReasonOverload:
 		return router.ResultOverloaded
+	case gypsumhoist.ReasonLeaving:
+		return router.ResultLeaving
 	case gypsumhoist.ReasonConnection, gypsumhoist.ReasonNoUpstream, gypsumhoist.ReasonInternal:
 		return router.ResultFailed
 	default:
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -92,6 +92,8 @@
 	// Slots and Connections are the announced bounds.
 	Slots       int
 	Connections int
+	// Started is when it started, to the millisecond, by the clock of its machine; zero if it did not say.
+	Started time.Time
 	// Load is the announced load in thousandths; a hint that lags and may mislead.
 	Load int
 	// CutOff is the least importance that the node admits at present; a hint that lags.
--- a/gossiper/own.go
+++ b/gossiper/own.go
@@ -98,11 +98,7 @@
 		return
 	}
 	cr.departing = true
-	self := &cr.self.member
-	self.Leaving = true
-	if self.Upstream.State != UpstreamGone {
-		self.Upstream.State = UpstreamDraining
-	}
+	cr.self.member.Leaving = true
 	cr.settle()
 }
 
--- a/gossiper/wire.go
+++ b/gossiper/wire.go
@@ -22,6 +22,21 @@
 	return ap, ap.IsValid()
 }
 
+// packTime returns a time in Unix milliseconds, 0 for the zero time.
+func packTime(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
+}
+
+func unpackTime(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
 func packPacket(pk *Packet) *gossiperpb.Packet {
 	out := &gossiperpb.Packet{
 		From:   string(pk.From),
@@ -91,6 +106,7 @@
 			Connections:  uint32(up.Connections),
 			LoadPermille: uint32(up.Load),
 			CutOff:       int32(up.CutOff),
+			StartedMs:    packTime(up.Started),
 		}
 	}
 	return out
@@ -124,6 +140,7 @@
 			Connections: int(up.GetConnections()),
 			Load:        int(up.GetLoadPermille()),
 			CutOff:      gypsumhoist.Importance(up.GetCutOff()),
+			Started:     unpackTime(up.GetStartedMs()),
 		}
 	}
 	return mb, true
--- a/router/api.go
+++ b/router/api.go
@@ -16,7 +16,9 @@
 	StateReady State = iota
 	// StateWarming takes little work, as it has just started.
 	StateWarming
-	// StateLeaving takes no new work: it drains or stops.
+	// StateStopping is beside a node that is about to end: it takes work that nobody else has room for, until its node refuses.
+	StateStopping
+	// StateLeaving takes no new work: it drains.
 	StateLeaving
 )
 
@@ -31,7 +33,7 @@
 	// Slots is how many requests the upstream says it runs at once; below one counts as one.
 	Slots int
 	State State
-	// Age is how long it has been ready; zero for one that is new or of unknown age.
+	// Age is how long it has run, whatever became of its node; zero for one that is new or of unknown age.
 	Age time.Duration
 }
 
@@ -53,8 +55,10 @@
 	ResultOverloaded
 	// ResultFailed is a broken or silent connection, a timeout, or an answer that tells of a fault.
 	ResultFailed
-	// ResultNeutral says nothing about the upstream: the caller went away or the request was bad.
+	// ResultNeutral says nothing about the upstream: the caller went away, the request was bad, or no connection was found.
 	ResultNeutral
+	// ResultLeaving is a refusal of a node that is about to end, or whose upstream drains.
+	ResultLeaving
 )
 
 // Outcome is what a node measured on an attempt.
--- a/router/ejection.go
+++ b/router/ejection.go
@@ -58,7 +58,7 @@
 		ej.answered++
 	case ResultFailed:
 		ej.begin(now)
-	case ResultNeutral:
+	case ResultNeutral, ResultLeaving:
 	}
 	if ej.answered < probesToReturn {
 		return false
--- a/router/group.go
+++ b/router/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/prober"
 )
 
 // Delays of domains that form one tier differ by less than this.
@@ -26,13 +27,16 @@
 	delays  map[gypsumhoist.FailureDomain]time.Duration
 	members map[gypsumhoist.Instance]*member
 	list    []*member // in order of instances, those that leave too
+	reach   prober.Reach
 	tiers   []tier
-	out     []*member     // ejected ones
-	open    int           // members that don't leave
-	slots   float64       // of members that don't leave
-	outside float64       // of ejected members
-	latency time.Duration // mean of answers
-	seen    bool          // SetUpstreams was called
+	// stopping and silent hold members that take work only where those of the tiers can't.
+	stopping, silent []*member
+	out              []*member     // ejected ones
+	open             int           // members of the tiers
+	slots            float64       // of members of the tiers
+	outside          float64       // of ejected members
+	latency          time.Duration // mean of answers
+	seen             bool          // SetUpstreams was called
 }
 
 // tier is a set of upstreams at about the same distance.
@@ -53,7 +57,7 @@
 
 // SetUpstreams replaces the view of the service. What was measured on an upstream is kept as
 // long as its boot stays the same. Upstreams that are new to a view that was there before, and
-// those that end warming, begin a slow start.
+// those that end warming, begin a slow start; one that has run for long by its own word does not.
 func (gr *Group) SetUpstreams(now time.Duration, upstreams []Upstream) {
 	members := make(map[gypsumhoist.Instance]*member, len(upstreams))
 	for _, up := range upstreams {
@@ -72,7 +76,10 @@
 func (gr *Group) renew(now time.Duration, up Upstream) *member {
 	old, known := gr.members[up.Instance]
 	if !known || old.upstream.Boot != up.Boot {
-		mb := &member{upstream: up, slots: float64(max(up.Slots, 1)), hintAt: -hintLife, failuresAt: -failureFade}
+		mb := &member{
+			upstream: up, slots: float64(max(up.Slots, 1)), hintAt: -hintLife, failuresAt: -failureFade,
+			slowFor: slowStart, warmingAt: now,
+		}
 		if gr.seen {
 			mb.chill(now - up.Age)
 		}
@@ -80,6 +87,10 @@
 	}
 	if old.upstream.State == StateWarming && up.State == StateReady {
 		old.chill(now)
+		old.slowFor = min(max(now-old.warmingAt, slowStartLeast), slowStart)
+	}
+	if old.upstream.State != StateWarming && up.State == StateWarming {
+		old.warmingAt = now
 	}
 	old.upstream = up
 	old.slots = float64(max(up.Slots, 1))
@@ -96,14 +107,28 @@
 	gr.build()
 }
 
-// build sorts the members that don't leave into tiers, the nearest first.
+// SetReach takes what the node can reach.
+func (gr *Group) SetReach(reach prober.Reach) {
+	gr.reach = reach
+	gr.build()
+}
+
+// build sorts the members that can be reached and don't leave into tiers, the nearest first.
 func (gr *Group) build() {
 	gr.tiers = gr.tiers[:0]
-	gr.out = gr.out[:0]
+	gr.out, gr.stopping, gr.silent = gr.out[:0], gr.stopping[:0], gr.silent[:0]
 	gr.open, gr.slots, gr.outside = 0, 0, 0
 	var open []*member
 	for _, mb := range gr.list {
-		if mb.upstream.State == StateLeaving {
+		grade := gr.reach.Of(prober.Member{Peer: mb.upstream.Peer, Domain: mb.upstream.Domain})
+		switch {
+		case mb.upstream.State == StateLeaving, grade == prober.GradeUnreachable:
+			continue
+		case grade == prober.GradeSilent:
+			gr.silent = append(gr.silent, mb)
+			continue
+		case mb.upstream.State == StateStopping:
+			gr.stopping = append(gr.stopping, mb)
 			continue
 		}
 		open = append(open, mb)
@@ -159,7 +184,7 @@
 // eject takes a member out if enough others stay.
 func (gr *Group) eject(now time.Duration, mb *member) bool {
 	most := min(gr.open-1, max(1, int(ejectMost*float64(gr.open))))
-	if mb.upstream.State == StateLeaving || gr.members[mb.upstream.Instance] != mb || len(gr.out) >= most {
+	if mb.upstream.State >= StateStopping || gr.members[mb.upstream.Instance] != mb || len(gr.out) >= most {
 		return false
 	}
 	mb.health.begin(now)
--- a/router/member.go
+++ b/router/member.go
@@ -14,8 +14,10 @@
 	hintLeast  = 0.25        // a reported limit counts as at least this share of the slots
 	shortAfter = 100 * time.Millisecond
 
-	slowStart      = 10 * time.Second // until a cold upstream takes its whole share
-	coldShare      = 0.1              // share that a cold upstream begins with
+	slowStart      = 10 * time.Second // until a cold upstream takes its whole share, unless it warmed up in less
+	slowStartLeast = time.Second
+	goneFor        = 500 * time.Millisecond // how long a refusal of one that leaves holds while the view says otherwise
+	coldShare      = 0.1                    // share that a cold upstream begins with
 	coldSlotsLeast = 1.0
 )
 
@@ -38,6 +40,9 @@
 
 	cold   bool
 	coldAt time.Duration // start of its slow start
+	// slowFor is how long its slow start takes, warmingAt when it was first seen warming.
+	slowFor, warmingAt time.Duration
+	goneUntil          time.Duration // it said that it is leaving just now
 
 	health ejection
 }
@@ -51,11 +56,11 @@
 		return 1
 	}
 	age := now - mb.coldAt
-	if age >= slowStart {
+	if age >= mb.slowFor {
 		mb.cold = false
 		return 1
 	}
-	return coldShare + (1-coldShare)*float64(age)/float64(slowStart)
+	return coldShare + (1-coldShare)*float64(age)/float64(mb.slowFor)
 }
 
 // chill begins a slow start.
@@ -87,9 +92,9 @@
 	return (mb.load(now)+1)/mb.capacity(now) + failurePrice*mb.failing(now)
 }
 
-// short reports whether the upstream has no room for one more request, or is failing.
+// short reports whether the upstream has no room for one more request, is failing, or leaves.
 func (mb *member) short(now time.Duration) bool {
-	return now < mb.shortUntil || mb.utilisation(now) > 1
+	return now < mb.shortUntil || now < mb.goneUntil || mb.utilisation(now) > 1
 }
 
 // failing returns the share of failed attempts, faded by its age.
@@ -117,6 +122,8 @@
 		mb.learn(max(oc.Latency, mb.latency))
 	case ResultOverloaded:
 		mb.shortUntil = now + shortAfter
+	case ResultLeaving:
+		mb.goneUntil = now + goneFor
 	case ResultNeutral:
 	}
 }
--- a/router/pick.go
+++ b/router/pick.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 const (
 	drawsMax  = 4   // draws for one candidate before all members are looked through
 	farMargin = 0.1 // utilisation by which a farther upstream must be better when all are short
+	goneCost  = 10  // utilisation that a refusal of one that leaves counts as
 )
 
 // choice is one attempt's claim on a member.
@@ -43,7 +45,8 @@
 	return nil
 }
 
-// choose takes the nearest member with room; if none has room, the least utilised candidate.
+// choose takes the nearest member with room, then one that is stopping and has room; if none has room, the least utilised
+// candidate. One that is silent is better than none, one that can't be reached is not.
 func (gr *Group) choose(now time.Duration, exclude []gypsumhoist.Instance) *member {
 	var best *member
 	var bestUse float64
@@ -60,9 +63,40 @@
 			best, bestUse = mb, use
 		}
 	}
+	last := gr.spare(now, gr.stopping, exclude)
+	if best != nil && (last == nil || last.short(now) && now >= best.goneUntil) {
+		return best
+	}
+	return cmp.Or(last, gr.spare(now, gr.silent, exclude))
+}
+
+// spare returns the least utilised of some members that can be used.
+func (gr *Group) spare(now time.Duration, members []*member, exclude []gypsumhoist.Instance) *member {
+	var best *member
+	for _, mb := range members {
+		if gr.usable(mb, exclude) && (best == nil || gr.cost(now, mb) < gr.cost(now, best)) {
+			best = mb
+		}
+	}
 	return best
 }
 
+// left counts the members that can be used.
+func (gr *Group) left(now time.Duration, exclude []gypsumhoist.Instance) int {
+	num := 0
+	for at := range gr.tiers {
+		for _, mb := range gr.tiers[at].members {
+			if !slices.Contains(exclude, mb.upstream.Instance) {
+				num++
+			}
+		}
+	}
+	if gr.spare(now, gr.stopping, exclude) != nil {
+		num++
+	}
+	return num
+}
+
 // better returns the better of two random members of a tier.
 func (gr *Group) better(now time.Duration, tr *tier, exclude []gypsumhoist.Instance) *member {
 	one := gr.draw(now, tr, exclude)
@@ -85,6 +119,9 @@
 	if now < mb.shortUntil {
 		cost++
 	}
+	if now < mb.goneUntil {
+		cost += goneCost
+	}
 	if mb.latency > 0 {
 		cost *= mb.latency.Seconds()
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/logger"
+	"github.com/gypsumhoist/gypsumhoist/prober"
 )
 
 // Log events.
@@ -32,6 +33,7 @@
 	mu       sync.Mutex // guards the change of services and delays
 	services atomic.Pointer[map[gypsumhoist.Service]*service]
 	delays   map[gypsumhoist.FailureDomain]time.Duration
+	reach    prober.Reach
 
 	picks, probes, ejections, unrouted *metrics.Counter
 }
@@ -103,6 +105,29 @@
 	}
 }
 
+// SetReach takes what this node can reach. Upstreams that it can't reach get no attempt, however many they are.
+func (rt *Router) SetReach(reach prober.Reach) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.reach = reach
+	for _, sv := range *rt.services.Load() {
+		sv.mu.Lock()
+		sv.group.SetReach(reach)
+		sv.mu.Unlock()
+	}
+}
+
+// Left returns how many upstreams of a service an attempt could go to, other than those excluded.
+func (rt *Router) Left(name gypsumhoist.Service, exclude ...gypsumhoist.Instance) int {
+	sv, ok := (*rt.services.Load())[name]
+	if !ok {
+		return 0
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.group.left(rt.now(), exclude)
+}
+
 // service returns the state of a service, new if need be.
 func (rt *Router) service(name gypsumhoist.Service) *service {
 	rt.mu.Lock()
@@ -115,6 +140,7 @@
 	for dm, delay := range rt.delays {
 		sv.group.delays[dm] = delay
 	}
+	sv.group.reach = rt.reach
 	next := maps.Clone(old)
 	next[name] = sv
 	rt.services.Store(&next)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/prober"
 	"github.com/gypsumhoist/gypsumhoist/router"
 )
 
@@ -185,6 +187,79 @@
 		})
 	})
 
+	It("gives nothing to upstreams that can't be reached, however many they are, and takes them back whole at once", func() {
+		run(func(g *WithT, be *bench) {
+			all := upstreams("a", 1, 40)
+			for no, up := range append(upstreams("b", 2, 40), upstreams("c", 2, 40)...) {
+				up.Peer = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(no)}), 7000)
+				all = append(all, up)
+			}
+			be.router.SetUpstreams("orders", all)
+			be.router.SetReach(prober.NewReach(map[netip.AddrPort]prober.Grade{all[1].Peer: prober.GradeSilent}, "c"))
+			be.send(time.Millisecond, 5*time.Second)
+			g.Expect(be.picked["c-0"] + be.picked["c-1"] + be.picked["b-0"]).To(BeZero())
+			g.Expect(be.share("a-0")).To(BeNumerically(">", 0.4))
+			g.Expect(be.router.Left("orders", "a-0")).To(Equal(1))
+			be.router.SetReach(prober.Reach{})
+			be.send(time.Millisecond, 5*time.Second)
+			GinkgoWriter.Printf("back: b %.3f %.3f, c %.3f %.3f\n", be.share("b-0"), be.share("b-1"), be.share("c-0"), be.share("c-1"))
+			for _, in := range []gypsumhoist.Instance{"b-0", "b-1", "c-0", "c-1"} {
+				g.Expect(be.share(in)).To(BeNumerically("~", 0.05, 0.02), string(in))
+			}
+			// One that only gave no answer is better than none; one that no connection can be had to is not.
+			be.router.SetUpstreams("orders", all[1:])
+			be.router.SetReach(prober.NewReach(map[netip.AddrPort]prober.Grade{all[1].Peer: prober.GradeSilent, all[2].Peer: prober.GradeUnreachable}, "c"))
+			pk, err := be.router.Pick("orders", false)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(pk.Upstream.Instance).To(Equal(gypsumhoist.Instance("b-0")))
+			pk.Done(router.Outcome{})
+			_, err = be.router.Pick("orders", false, "b-0")
+			g.Expect(err).To(HaveField("Reason", gypsumhoist.ReasonNoUpstream))
+		})
+	})
+
+	It("gives one whose node stops what nobody else has room for, until the node refuses", func() {
+		run(func(g *WithT, be *bench) {
+			all := upstreams("a", 2, 10)
+			all[1].State = router.StateStopping
+			be.router.SetUpstreams("orders", all)
+			be.send(20*time.Millisecond, 2*time.Second)
+			g.Expect(be.picked["a-1"]).To(BeZero())
+			be.send(3*time.Millisecond, 2*time.Second)
+			g.Expect(be.share("a-1")).To(BeNumerically(">", 0.3))
+			be.answer = func(up router.Upstream) router.Outcome {
+				if up.Instance == "a-1" {
+					return router.Outcome{Result: router.ResultLeaving, Latency: time.Millisecond}
+				}
+				return router.Outcome{Latency: 50 * time.Millisecond}
+			}
+			be.send(3*time.Millisecond, 2*time.Second)
+			g.Expect(be.picked["a-1"]).To(BeNumerically("<=", 8))
+			be.router.SetUpstreams("orders", all[1:])
+			pk, err := be.router.Pick("orders", false)
+			g.Expect(err).NotTo(HaveOccurred())
+			pk.Done(router.Outcome{})
+		})
+	})
+
+	It("starts an upstream slowly that is new, for as long as it took to warm up, and not one whose node only started anew", func() {
+		run(func(g *WithT, be *bench) {
+			all := upstreams("a", 3, 20)
+			be.router.SetUpstreams("orders", all)
+			all[0].Boot, all[0].Age = 2, time.Minute
+			all[1].Boot, all[1].State = 2, router.StateWarming
+			be.router.SetUpstreams("orders", all)
+			be.send(2*time.Millisecond, 3*time.Second)
+			GinkgoWriter.Printf("old with a new node %.3f, warming %.3f\n", be.share("a-0"), be.share("a-1"))
+			g.Expect(be.share("a-0")).To(BeNumerically(">", 0.4))
+			all[1].State = router.StateReady
+			be.router.SetUpstreams("orders", all)
+			be.send(2*time.Millisecond, 3*time.Second)
+			be.send(2*time.Millisecond, 3*time.Second)
+			g.Expect(be.share("a-1")).To(BeNumerically("~", 1.0/3, 0.04))
+		})
+	})
+
 	It("never picks an excluded upstream, and refuses not_run when none is left", func() {
 		run(func(g *WithT, be *bench) {
 			be.router.SetUpstreams("orders", upstreams("a", 3, 1))
--- a/server/node.go
+++ b/server/node.go
@@ -187,7 +187,7 @@
 		return
 	}
 	nd.sv.gossiper.Announce(gossiper.Upstream{
-		Service: an.Service, State: gossipState(an.State), Slots: an.Slots, Connections: an.Connections,
+		Service: an.Service, State: gossipState(an.State), Slots: an.Slots, Connections: an.Connections, Started: an.Started,
 	})
 }
 
@@ -260,7 +260,8 @@
 	if nd.allotted != nil {
 		nd.allotted.look(vw)
 	}
+	now := time.Now()
 	for _, svc := range svcs {
-		nd.router.SetUpstreams(svc, upstreams(vw.ByService(svc)))
+		nd.router.SetUpstreams(svc, upstreams(now, vw.ByService(svc)))
 	}
 }
--- a/server/server.go
+++ b/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/gypsumhoist/gypsumhoist/journaler"
 	"github.com/gypsumhoist/gypsumhoist/loader"
 	"github.com/gypsumhoist/gypsumhoist/logger"
+	"github.com/gypsumhoist/gypsumhoist/prober"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 	"github.com/gypsumhoist/gypsumhoist/replicator"
 )
@@ -44,6 +45,7 @@
 	random   *rand.Rand
 	disk     func(path string) (journaler.Folder, error)
 
+	prober   *prober.Prober
 	peers    *connector.PeerPool
 	gossiper *gossiper.Gossiper
 	spreader *registrar.Spreader
@@ -130,7 +132,10 @@
 // build makes the duties in the order in which they need each other.
 func (sv *Server) build() {
 	st := sv.settings
-	sv.peers = connector.NewPeerPool(connector.WithNetwork(sv.network), connector.WithLogger(sv.logger), connector.WithMetrics(sv.metrics))
+	sv.prober = prober.New(st.FailureDomain, prober.WithLogger(sv.logger), prober.WithMetrics(sv.metrics),
+		prober.WithProbe(sv.ask), prober.WithNotify(sv.reached))
+	sv.peers = connector.NewPeerPool(connector.WithNetwork(sv.network), connector.WithLogger(sv.logger),
+		connector.WithMetrics(sv.metrics), connector.WithPaths(sv.prober))
 	sv.gossiper = gossiper.New(
 		gossiper.WithSelf(gossiper.Member{
 			Instance: st.Instance, Boot: sv.boot, Domain: st.FailureDomain, Peer: st.Listen.Peers, Roles: roles(st),
@@ -166,6 +171,16 @@
 	sv.office = registrar.NewOffice(append(opts, registrar.WithSpreader(sv.spreader))...)
 }
 
+// ask asks another instance for any answer.
+func (sv *Server) ask(ctx context.Context, to netip.AddrPort) error { return sv.peers.Probe(ctx, to) }
+
+// reached hands what this process can reach to the duties that choose by it.
+func (sv *Server) reached(re prober.Reach) {
+	if sv.node != nil {
+		sv.node.router.SetReach(re)
+	}
+}
+
 // fork returns a source of random numbers of its own for one duty.
 func (sv *Server) fork() *rand.Rand {
 	return rand.New(rand.NewPCG(sv.random.Uint64(), sv.random.Uint64()))
@@ -194,6 +209,7 @@
 		vc := &voucher{sv: sv, started: time.Now()}
 		sv.tmb.Go(vc.loop)
 	}
+	sv.prober.Start()
 	sv.gossiper.Subscribe(sv.look)
 	sv.gossiper.Start()
 	sv.spreader.Start()
@@ -295,6 +311,7 @@
 	if sv.node != nil {
 		sv.node.stop()
 	}
+	sv.prober.Stop()
 	sv.spreader.Stop()
 	sv.gossiper.Stop()
 	sv.host.Stop()
--- a/server/view.go
+++ b/server/view.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/gossiper"
+	"github.com/gypsumhoist/gypsumhoist/prober"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 	"github.com/gypsumhoist/gypsumhoist/router"
 )
@@ -14,6 +16,7 @@
 	srcs := sv.withFounders(sources(vw, sv.settings.Instance))
 	sv.spreader.SetSources(srcs)
 	sv.office.SetSources(srcs)
+	sv.prober.SetMembers(reachable(vw, sv.settings.Instance))
 	if sv.node != nil {
 		sv.node.look(vw)
 	}
@@ -35,6 +38,17 @@
 	return out
 }
 
+// reachable returns all other instances that this one may call.
+func reachable(vw *gossiper.View, self gypsumhoist.Instance) []prober.Member {
+	var out []prober.Member
+	for _, mb := range vw.Members() {
+		if mb.Instance != self && mb.Status != gossiper.StatusLeft {
+			out = append(out, prober.Member{Peer: mb.Peer, Domain: mb.Domain})
+		}
+	}
+	return out
+}
+
 // withFounders adds the control instances that the settings name and that nobody has been heard of yet:
 // a revision is not in force everywhere before they have confirmed it.
 func (sv *Server) withFounders(srcs []registrar.Source) []registrar.Source {
@@ -49,7 +63,7 @@
 }
 
 // upstreams returns what the router must know of a service.
-func upstreams(mbs []gossiper.Member) []router.Upstream {
+func upstreams(now time.Time, mbs []gossiper.Member) []router.Upstream {
 	var out []router.Upstream
 	for _, mb := range mbs {
 		if mb.Status >= gossiper.StatusUnreachable || mb.Upstream.State == gossiper.UpstreamGone {
@@ -58,6 +72,7 @@
 		out = append(out, router.Upstream{
 			Instance: mb.Instance, Domain: mb.Domain, Peer: mb.Peer, Boot: uint64(mb.Boot),
 			Slots: mb.Upstream.Slots, State: upstreamState(mb),
+			Age: ageOf(now, mb.Upstream.Started),
 		})
 	}
 	return out
@@ -65,11 +80,21 @@
 
 func upstreamState(mb gossiper.Member) router.State {
 	switch {
-	case mb.Leaving || mb.Upstream.State == gossiper.UpstreamDraining:
+	case mb.Upstream.State == gossiper.UpstreamDraining:
 		return router.StateLeaving
+	case mb.Leaving:
+		return router.StateStopping
 	case mb.Upstream.State == gossiper.UpstreamWarming:
 		return router.StateWarming
 	default:
 		return router.StateReady
 	}
 }
+
+// ageOf returns how long an upstream has run; zero if it did not say, or if the clocks disagree.
+func ageOf(now, started time.Time) time.Duration {
+	if started.IsZero() {
+		return 0
+	}
+	return max(now.Sub(started), 0)
+}
