auditor, cmd: losses tells from saved logs what was lost and where it began

Cause: after a bad hour an operator could ask for single requests only. Log lines of a request's end say depth and late.

--- /dev/null
+++ b/auditor/auditor_test.go
@@ -0,0 +1,86 @@
+package auditor_test
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumhoist/gypsumhoist/auditor"
+)
+
+// log holds lines of a fleet: a request served, one refused at its entry, one that failed as a call two deep was refused, one late,
+// and one whose entry says nothing.
+const log = `time=2026-06-12T12:00:00Z instance=e1 event=1011 level=info name=started domain=east peers=10.0.0.1:7000
+ 0.1 e1 time=2026-06-12T12:00:01Z instance=e1 event=1210 request=aa hop=false depth=0 route=/slips status=200 verdict=ran reason= took=10ms late=false steps="router picked e2; forwarder answered whole"
+time=2026-06-12T12:00:01.5Z instance=e1 event=1211 request=bb hop=false depth=0 route=/slips status=429 verdict=not_run reason=rate took=1ms late=false steps="limiter refused spent; forwarder rate spent"
+time=2026-06-12T12:00:02.2Z instance=w3 event=1211 request=cc hop=true depth=2 route=/rolls status=0 verdict=not_run reason=overload took=40ms late=false steps="admitter no turn in time"
+time=2026-06-12T12:00:02.3Z instance=w2 event=1210 request=cc hop=false depth=2 route=/rolls status=503 verdict=not_run reason=overload took=40ms late=false steps="router picked w3; retrier no retry: ratio"
+time=2026-06-12T12:00:02.4Z instance=e1 event=1210 request=cc hop=false depth=0 route=/fees status=500 verdict=ran reason= took=100ms late=false steps="router picked w2; forwarder answered whole"
+time=2026-06-12T12:00:03Z instance=w9 event=1210 request=dd hop=false depth=0 route=/fees status=200 verdict=ran reason= took=900ms late=true steps="router picked w2; forwarder answered whole"
+time=2026-06-12T12:00:03Z instance=w2 event=1210 request=ee hop=true depth=0 route=/fees status=500 verdict= reason= took=900ms late=false steps="admitter admitted"
+torn`
+
+func ledger(from, to time.Time) auditor.Ledger {
+	GinkgoHelper()
+	au := auditor.New()
+	Expect(au.Read(strings.NewReader(log))).To(Succeed())
+	return au.Ledger(from, to)
+}
+
+var _ = Describe("a ledger", func() {
+	It("tells of each request that was lost how, where and at which call of its chain that began", func() {
+		lg := ledger(time.Time{}, time.Time{})
+		Expect(lg.Requests).To(Equal(4))
+		Expect(lg.Losses).To(HaveLen(3))
+		bb, cc, dd := lg.Losses[0], lg.Losses[1], lg.Losses[2]
+		Expect(bb).To(And(HaveField("Kind", auditor.KindRefused), HaveField("Domain", BeEquivalentTo("east")), HaveField("Cause", "rate (limiter)")))
+		Expect(cc).To(And(HaveField("Kind", auditor.KindFailed), HaveField("Route", "/fees"), HaveField("Began", "/rolls"), HaveField("Depth", 2)))
+		Expect(cc.Cause).To(Equal("overload (admitter)"))
+		Expect(dd).To(And(HaveField("Kind", auditor.KindLate), HaveField("Domain", BeEquivalentTo("unknown"))))
+	})
+	It("leaves out what ended at other times", func() {
+		from := time.Date(2026, 6, 12, 12, 0, 2, 0, time.UTC)
+		lg := ledger(from, from.Add(500*time.Millisecond))
+		Expect(lg.Requests).To(Equal(1))
+		Expect(lg.Losses).To(HaveLen(1))
+		Expect(ledger(from.Add(time.Hour), time.Time{}).Requests).To(BeZero())
+	})
+	It("is a page with a bar for each second", func() {
+		var page strings.Builder
+		Expect(auditor.WriteHTML(&page, ledger(time.Time{}, time.Time{}))).To(Succeed())
+		Expect(strings.Count(page.String(), "<rect")).To(Equal(9))
+		Expect(page.String()).To(ContainSubstring("2 deep at /rolls"))
+	})
+})
+
+func ExampleWriteText() {
+	au := auditor.New()
+	// A string gives no error.
+	_ = au.Read(strings.NewReader(log))
+	_ = auditor.WriteText(os.Stdout, au.Ledger(time.Time{}, time.Time{}))
+	// Output:
+	// 3 of 4 requests were not served in time, from 2026-06-12T12:00:01Z to 2026-06-12T12:00:03Z.
+	//
+	// How and where it began
+	// 1  failed, overload (admitter), 2 deep at /rolls
+	// 1  late, slow
+	// 1  refused, rate (limiter)
+	//
+	// Route and cause
+	// 1  /fees  failed, overload (admitter), 2 deep at /rolls
+	// 1  /fees  late, slow
+	// 1  /slips  refused, rate (limiter)
+	//
+	// Failure domain of the entry and cause
+	// 1  east  failed, overload (admitter), 2 deep at /rolls
+	// 1  east  refused, rate (limiter)
+	// 1  unknown  late, slow
+	//
+	// Second  refused  failed  late  most
+	// 0       1        0       0     1 refused, rate (limiter)
+	// 1       0        1       0     1 failed, overload (admitter), 2 deep at /rolls
+	// 2       0        0       1     1 late, slow
+}
--- /dev/null
+++ b/cmd/gypsumhoist/losses.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gypsumhoist/gypsumhoist/auditor"
+)
+
+// lossesCmd says what was lost, and where it began.
+type lossesCmd struct {
+	Log   []string  `required:"" help:"Saved log lines of any instances: a file, or a folder whose files are all read; may be given several times." type:"existingpath" placeholder:"PATH"`
+	Since time.Time `help:"Leave out what ended before this time (RFC 3339)."`
+	Until time.Time `help:"Leave out what ended after this time (RFC 3339)."`
+	HTML  string    `name:"html" help:"Write a page to this file instead." placeholder:"FILE" xor:"form"`
+	JSON  bool      `name:"json" help:"Print JSON." xor:"form"`
+	out   io.Writer
+}
+
+// Run prints the ledger. Logs that tell of no request are an error.
+func (lc *lossesCmd) Run() error {
+	au := auditor.New()
+	for _, path := range lc.Log {
+		if err := filepath.WalkDir(path, func(name string, entry os.DirEntry, err error) error {
+			if err != nil || !entry.Type().IsRegular() {
+				return err
+			}
+			return readInto(au, name)
+		}); err != nil {
+			return err
+		}
+	}
+	lg := au.Ledger(lc.Since, lc.Until)
+	if lg.Requests == 0 {
+		return errors.New("the saved lines tell of no request in that time")
+	}
+	wr := lc.writer()
+	switch {
+	case lc.HTML != "":
+		return writeFile(lc.HTML, wr, func(page io.Writer) error { return auditor.WriteHTML(page, lg) })
+	case lc.JSON:
+		return json.NewEncoder(wr).Encode(lg)
+	default:
+		return auditor.WriteText(wr, lg)
+	}
+}
+
+func (lc *lossesCmd) writer() io.Writer {
+	if lc.out != nil {
+		return lc.out
+	}
+	return os.Stdout
+}
+
+func readInto(au *auditor.Audit, name string) error {
+	fl, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer fl.Close()
+	return au.Read(fl)
+}
+
+// writeFile writes a file whole and says so.
+func writeFile(name string, say io.Writer, write func(io.Writer) error) error {
+	fl, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	if err := write(fl); err != nil {
+		// The file is not whole; that error comes first.
+		_ = fl.Close()
+		return err
+	}
+	if err := fl.Close(); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(say, "%s is written.\n", name)
+	return err
+}
--- a/cmd/gypsumhoist/main.go
+++ b/cmd/gypsumhoist/main.go
@@ -17,6 +17,7 @@
 	Domain domainCmd `cmd:"" help:"Take failure domains out of the table."`
 
 	Explain    explainCmd    `cmd:"" help:"Say what each instance decided about a request, and why."`
+	Losses     lossesCmd     `cmd:"" help:"Say from saved logs which requests were lost, when, and where in their chain of calls it began."`
 	Report     reportCmd     `cmd:"" help:"Report on the whole fleet."`
 	Quarantine quarantineCmd `cmd:"" help:"Look at and lift quarantines of requests that crash upstreams."`
 }
--- a/cmd/gypsumhoist/report.go
+++ b/cmd/gypsumhoist/report.go
@@ -1,9 +1,8 @@
 package main
 
 import (
-	"fmt"
+	"io"
 	"net/http"
-	"os"
 
 	"github.com/gypsumhoist/gypsumhoist/reporter"
 )
@@ -41,18 +40,5 @@
 }
 
 func (rb *reportBurnCmd) writePage(rp reporter.Report) error {
-	fl, err := os.Create(rb.HTML)
-	if err != nil {
-		return err
-	}
-	if err := reporter.WriteHTML(fl, rp); err != nil {
-		// The file is not whole; that error comes first.
-		_ = fl.Close()
-		return err
-	}
-	if err := fl.Close(); err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(rb.writer(), "%s is written.\n", rb.HTML)
-	return err
+	return writeFile(rb.HTML, rb.writer(), func(page io.Writer) error { return reporter.WriteHTML(page, rp) })
 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -28,9 +28,12 @@
 // Record holds what one node decided about one request.
 // It is for one goroutine until it is added to a Book, and must not change after.
 type Record struct {
-	Request    gypsumhoist.RequestID  `json:"request"`
-	Instance   gypsumhoist.Instance   `json:"instance"`
-	Hop        bool                   `json:"hop"`
+	Request  gypsumhoist.RequestID `json:"request"`
+	Instance gypsumhoist.Instance  `json:"instance"`
+	Hop      bool                  `json:"hop"`
+	// Depth is how many calls deep in its chain the request came, Late that its answer took longer than the row's target.
+	Depth      int                    `json:"depth"`
+	Late       bool                   `json:"late,omitempty"`
 	Started    time.Time              `json:"started"`
 	Took       time.Duration          `json:"took_ns"`
 	Workspace  gypsumhoist.Workspace  `json:"workspace"`
--- a/explainer/savedlog.go
+++ b/explainer/savedlog.go
@@ -16,10 +16,11 @@
 	"github.com/gypsumhoist/gypsumhoist"
 )
 
-// Log events of a request's end; forwarder writes them.
+// Log events of a request's end, which forwarder writes, and of a process's start.
 const (
 	logAnswered = "1210"
 	logRefused  = "1211"
+	logStarted  = "1011"
 )
 
 // lineStart begins a log line; what a collector wrote before it is left out.
@@ -29,18 +30,50 @@
 // events, and those that can't be read, are passed over. The error is that of the reader.
 func ReadLog(rd io.Reader, id gypsumhoist.RequestID) ([]*Record, error) {
 	var out []*Record
+	err := eachLine(rd, func(line []byte) {
+		if !bytes.Contains(line, []byte("request="+string(id))) {
+			return
+		}
+		if rc := recordOf(fieldsOf(line)); rc != nil && rc.Request == id {
+			out = append(out, rc)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	SortRecords(out)
+	return out, nil
+}
+
+// ScanLog calls functions with what saved log lines tell: the end of each request at each instance, and the failure domain of each
+// instance that said it when it started. Other lines are passed over. The error is that of the reader.
+func ScanLog(rd io.Reader, ended func(*Record), started func(gypsumhoist.Instance, gypsumhoist.FailureDomain)) error {
+	return eachLine(rd, func(line []byte) {
+		fields := fieldsOf(line)
+		switch fields["event"] {
+		case logAnswered, logRefused:
+			if rc := recordOf(fields); rc != nil {
+				ended(rc)
+			}
+		case logStarted:
+			started(gypsumhoist.Instance(fields["instance"]), gypsumhoist.FailureDomain(fields["domain"]))
+		}
+	})
+}
+
+// eachLine calls a function with each log line, without what a collector wrote before it.
+func eachLine(rd io.Reader, take func([]byte)) error {
 	br := bufio.NewReader(rd)
 	for {
 		line, err := br.ReadBytes('\n')
-		if rc := readLine(line, id); rc != nil {
-			out = append(out, rc)
+		if at := bytes.Index(line, lineStart); at >= 0 {
+			take(line[at:])
 		}
 		if errors.Is(err, io.EOF) {
-			SortRecords(out)
-			return out, nil
+			return nil
 		}
 		if err != nil {
-			return nil, err
+			return err
 		}
 	}
 }
@@ -50,14 +83,9 @@
 	slices.SortStableFunc(rcs, func(ra, rb *Record) int { return ra.Started.Compare(rb.Started) })
 }
 
-// readLine returns the record of one log line; nil if it tells nothing of the request.
-func readLine(line []byte, id gypsumhoist.RequestID) *Record {
-	at := bytes.Index(line, lineStart)
-	if at < 0 || !bytes.Contains(line, []byte("request="+string(id))) {
-		return nil
-	}
-	fields := fieldsOf(line[at:])
-	if fields["request"] != string(id) || fields["event"] != logAnswered && fields["event"] != logRefused {
+// recordOf returns the record that the fields of a line tell of; nil if they tell of no request's end.
+func recordOf(fields map[string]string) *Record {
+	if fields["event"] != logAnswered && fields["event"] != logRefused {
 		return nil
 	}
 	ended, err := time.Parse(time.RFC3339Nano, fields["time"])
@@ -69,7 +97,7 @@
 		return nil
 	}
 	rc := &Record{
-		Request: id, Instance: gypsumhoist.Instance(fields["instance"]), Hop: fields["hop"] == "true",
+		Request: gypsumhoist.RequestID(fields["request"]), Instance: gypsumhoist.Instance(fields["instance"]), Hop: fields["hop"] == "true",
 		Started: ended.Add(-took), Took: took,
 		Workspace: gypsumhoist.Workspace(fields["workspace"]), Route: fields["route"], Service: gypsumhoist.Service(fields["service"]),
 		Method: cmp.Or(fields["method"], "request"), Key: fields["key"],
@@ -79,6 +107,8 @@
 	rc.Row, _ = strconv.ParseUint(fields["row"], 10, 64)
 	rc.Revision, _ = strconv.ParseUint(fields["revision"], 10, 64)
 	rc.Status, _ = strconv.Atoi(fields["status"])
+	rc.Depth, _ = strconv.Atoi(fields["depth"])
+	rc.Late = fields["late"] == "true"
 	importance, _ := strconv.Atoi(fields["importance"])
 	rc.Importance = gypsumhoist.Importance(importance)
 	rc.Steps = stepsOf(fields["steps"], fields["table_age"])
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -89,7 +89,7 @@
 
 func (fw *Forwarder) hopRecord(hop *forwarderpb.Hop, out *http.Request) *explainer.Record {
 	return &explainer.Record{
-		Request: gypsumhoist.RequestID(hop.GetRequest()), Instance: fw.instance, Hop: true, Started: time.Now(),
+		Request: gypsumhoist.RequestID(hop.GetRequest()), Instance: fw.instance, Hop: true, Depth: int(hop.GetDepth()), Started: time.Now(),
 		Workspace: gypsumhoist.Workspace(hop.GetWorkspace()), Route: hop.GetRoute(), Method: out.Method,
 		Key: hop.GetKeyId(), Importance: gypsumhoist.Importance(hop.GetImportance()),
 	}
--- a/forwarder/logging.go
+++ b/forwarder/logging.go
@@ -25,9 +25,9 @@
 	if rc.Reason != "" {
 		ev = eventTurnedAway
 	}
-	fw.logger.Log(ev, "request", rc.Request, "hop", rc.Hop, "workspace", rc.Workspace, "route", rc.Route,
+	fw.logger.Log(ev, "request", rc.Request, "hop", rc.Hop, "depth", rc.Depth, "workspace", rc.Workspace, "route", rc.Route,
 		"service", rc.Service, "importance", rc.Importance, "row", rc.Row, "revision", rc.Revision, "table_age", fw.tableAge(rc),
-		"status", rc.Status, "verdict", rc.Verdict, "reason", rc.Reason, "took", rc.Took, "steps", stepsText(rc))
+		"status", rc.Status, "verdict", rc.Verdict, "reason", rc.Reason, "took", rc.Took, "late", rc.Late, "steps", stepsText(rc))
 }
 
 // tableAge returns the age of the table, which is looked at only for requests that were refused.
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -58,6 +58,7 @@
 	rc.Key = string(cl.keyID)
 	rc.Service = cl.service
 	rc.Importance = cl.importance
+	rc.Depth = cl.depth
 	if fw.watch != nil {
 		fw.watch(cl.service)
 	}
@@ -141,6 +142,7 @@
 // finish ends the bookkeeping of a request.
 func (fw *Forwarder) finish(cl *call, whole bool) {
 	fw.throttled(cl)
+	cl.record.Late = cl.row != nil && cl.row.TargetLatency > 0 && time.Since(cl.started) > cl.row.TargetLatency
 	fw.keep(cl.record)
 	if fw.observe == nil || cl.nested || cl.row == nil {
 		return
