retrier, forwarder, router: the few retries go to what is important and nearest to its end

Change: `retrier.Rank`: importance, then calls ahead; a row grants a retry while those before it are fewer than the second's part of what its window holds. Calls made for a retry are charged too. A refusal of an upstream that runs less than half its slots is `upstream_refused`: no matter of load; it may be asked again within the row's attempts. Only outliers are ejected. Three quarters of a budget go with an attempt.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -222,6 +222,19 @@
 	tk.answered.CompareAndSwap(0, int64(tk.admitter.now()))
 }
 
+// crowdedShare is from which part of its slots on an upstream may refuse work for its load.
+const crowdedShare = 0.5
+
+// Crowded reports whether the upstream runs so much besides this request that it may refuse it for its load.
+// All its work comes through this node.
+func (tk *Ticket) Crowded() bool {
+	ad := tk.admitter
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	ld := ad.core.Load(ad.now())
+	return float64(ld.InFlight-1) >= crowdedShare*float64(ld.Slots)
+}
+
 // Done gives the slot back. Calls after the first do nothing.
 func (tk *Ticket) Done(oc Outcome) {
 	tk.once.Do(func() {
--- a/authenticator/calls.go
+++ b/authenticator/calls.go
@@ -22,11 +22,21 @@
 	// Budget is the retry budget that nested calls share.
 	Budget B
 
-	nested  atomic.Bool
-	refused atomic.Bool
-	failed  atomic.Bool
+	// Repeat tells that the call is a retry of one that may have run, or was made for such a retry.
+	Repeat bool
+
+	answered atomic.Int32
+	nested   atomic.Bool
+	refused  atomic.Bool
+	failed   atomic.Bool
 }
 
+// NoteAnswered notes that a call of the upstream's own got a good answer.
+func (cl *Call[B]) NoteAnswered() { cl.answered.Add(1) }
+
+// Answered returns how many calls of the upstream's own got a good answer.
+func (cl *Call[B]) Answered() int { return int(cl.answered.Load()) }
+
 // NoteNested notes that the upstream made a call of its own for this one.
 func (cl *Call[B]) NoteNested() { cl.nested.Store(true) }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,15 +23,17 @@
 func (fw *Forwarder) attempts(ctx context.Context, req *http.Request, cl *call) (*reply, *gypsumhoist.Refusal) {
 	key := retrier.RowKey{Workspace: cl.workspace, Route: cl.row.Route}
 	fw.retrier.First(key)
+	if cl.parent != nil && cl.parent.Repeat {
+		fw.retrier.Repeated(key)
+	}
 	tr := &trial{}
 	for no := uint32(1); ; no++ {
-		pk, err := fw.router.Pick(cl.service, cl.idempotent, tr.tried...)
+		pk, err := fw.pick(cl, tr)
 		if err != nil {
 			return tr.end(cl, asRefusal(err))
 		}
-		tr.tried = append(tr.tried, pk.Upstream.Instance)
 		cl.record.Note("router", "picked", string(pk.Upstream.Instance))
-		rp, rf := fw.send(ctx, req, cl, &pk, no)
+		rp, rf := fw.send(ctx, req, cl, &pk, no, tr.sent > 0)
 		if rf == nil {
 			tr.sent++
 			if !fw.tryAgain(key, cl, rp, tr) {
@@ -50,7 +53,8 @@
 			continue
 		}
 		tr.sent++
-		if tr.spent(cl) || !fw.retry(key, cl, fw.failureOf(cl, rf, tr)) {
+		tr.note(pk.Upstream.Instance, rf)
+		if tr.spent(cl) && len(tr.willing) == 0 || !fw.retry(key, cl, fw.failureOf(cl, rf, tr)) || !tr.rest(ctx) {
 			return tr.end(cl, rf)
 		}
 	}
@@ -62,10 +66,59 @@
 	last           *gypsumhoist.Refusal
 	failed         *reply // an upstream's own answer that tells of a failure
 	sent, rerouted int
+	// willing are upstreams that refused the request though they had room, and may take it another time.
+	willing []gypsumhoist.Instance
+	again   int // attempts at these
 }
 
 // spent reports whether the row allows no further upstream to be tried.
-func (tr *trial) spent(cl *call) bool { return cl.row.Attempts > 0 && tr.sent >= cl.row.Attempts }
+func (tr *trial) spent(cl *call) bool {
+	return cl.row.Attempts > 0 && tr.sent-tr.again >= cl.row.Attempts
+}
+
+// note takes a refusal of an upstream.
+func (tr *trial) note(up gypsumhoist.Instance, rf *gypsumhoist.Refusal) {
+	if rf.Reason == gypsumhoist.ReasonUpstreamRefused && !slices.Contains(tr.willing, up) {
+		tr.willing = append(tr.willing, up)
+	}
+}
+
+// Times before an upstream that refused a request is asked again: doubling, as it may refuse for a while.
+const (
+	restLeast = 5 * time.Millisecond
+	restMost  = 40 * time.Millisecond
+)
+
+// rest waits before another attempt at an upstream that was tried before; false when the request ends meanwhile.
+func (tr *trial) rest(ctx context.Context) bool {
+	if tr.again == 0 {
+		return true
+	}
+	over := time.NewTimer(min(restLeast<<min(tr.again-1, 8), restMost))
+	defer over.Stop()
+	select {
+	case <-over.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// pick chooses the upstream of the next attempt: one that was not tried, or else one that refused and may take it another time.
+func (fw *Forwarder) pick(cl *call, tr *trial) (router.Pick, error) {
+	if !tr.spent(cl) {
+		pk, err := fw.router.Pick(cl.service, cl.idempotent, tr.tried...)
+		if err == nil {
+			tr.tried = append(tr.tried, pk.Upstream.Instance)
+			return pk, nil
+		}
+		if len(tr.willing) == 0 {
+			return pk, err
+		}
+	}
+	tr.again++
+	return fw.router.PickOf(cl.service, tr.willing...)
+}
 
 // end returns the answer or refusal of a request that is tried no more.
 func (tr *trial) end(cl *call, rf *gypsumhoist.Refusal) (*reply, *gypsumhoist.Refusal) {
@@ -119,13 +172,18 @@
 // failureOf returns what is known of a failed attempt.
 func (fw *Forwarder) failureOf(cl *call, rf *gypsumhoist.Refusal, tr *trial) retrier.Failure {
 	vw := fw.router.View(cl.service)
+	others := len(tr.willing)
+	if !tr.spent(cl) {
+		others += fw.router.Left(cl.service, tr.tried...)
+	}
 	return retrier.Failure{
+		Rank:              retrier.Rank{Importance: cl.importance, Ahead: fw.progress.ahead(cl.parent)},
 		Verdict:           rf.Verdict,
 		Reason:            rf.Reason,
 		Idempotent:        cl.idempotent,
 		BodySpent:         cl.body.spent(),
 		ServiceOverloaded: fw.overloaded(cl, vw.Upstreams),
-		Others:            fw.router.Left(cl.service, tr.tried...),
+		Others:            others,
 		Remaining:         time.Until(cl.deadline),
 		Needed:            vw.Latency,
 	}
@@ -155,10 +213,11 @@
 }
 
 // send makes one attempt. A refusal comes with the attempt ended; an answer ends it later.
-func (fw *Forwarder) send(ctx context.Context, req *http.Request, cl *call, pk *router.Pick, no uint32) (*reply, *gypsumhoist.Refusal) {
+func (fw *Forwarder) send(ctx context.Context, req *http.Request, cl *call, pk *router.Pick, no uint32, again bool) (*reply, *gypsumhoist.Refusal) {
 	fw.meters.attempted()
 	sh := cl.budget.DrawHandout()
 	at := &attempt{fw: fw, cl: cl, pick: pk, share: &sh, hop: cl.hop(pk, no, sh.Retries()), started: time.Now()}
+	at.hop.Repeat = again || cl.parent != nil && cl.parent.Repeat
 	out := fw.outgoing(ctx, req, cl)
 	var rp *reply
 	var rf *gypsumhoist.Refusal
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -207,7 +207,8 @@
 		return router.ResultOverloaded
 	case gypsumhoist.ReasonLeaving:
 		return router.ResultLeaving
-	case gypsumhoist.ReasonConnection, gypsumhoist.ReasonNoUpstream, gypsumhoist.ReasonInternal:
+	case gypsumhoist.ReasonConnection, gypsumhoist.ReasonNoUpstream, gypsumhoist.ReasonInternal,
+		gypsumhoist.ReasonUpstreamRefused:
 		return router.ResultFailed
 	default:
 		return router.ResultNeutral
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -76,6 +76,7 @@
 	watch      func(gypsumhoist.Service)
 	meters     meters
 	deeper     deeper
+	progress   progress
 	splitter   splitter
 	throttler  *throttler.Throttler
 	identify   func(*http.Request) gypsumhoist.RequestID
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -95,8 +95,12 @@
 // answer passes a reply on to the caller.
 func (fw *Forwarder) answer(wr http.ResponseWriter, cl *call, rp *reply) {
 	wr.Header().Set(gypsumhoist.HeaderRequest, string(cl.id))
-	if cl.parent != nil && failure(rp.rs.StatusCode) {
+	switch {
+	case cl.parent == nil:
+	case failure(rp.rs.StatusCode):
 		cl.parent.NoteFailed()
+	default:
+		cl.parent.NoteAnswered()
 	}
 	err := copyAnswer(wr, rp.rs)
 	rp.end(err)
--- a/forwarder/running.go
+++ b/forwarder/running.go
@@ -26,6 +26,8 @@
 	flight *flight
 	budget *retrier.Budget
 	record *explainer.Record
+	// crowded tells that the upstream was busy when it answered with a refusal.
+	crowded bool
 }
 
 // end ends the request and returns what it left of its retry budget.
@@ -36,6 +38,9 @@
 	rn.fw.calls.End(rn.token)
 	switch {
 	case err == nil:
+		if !failure(rn.rs.StatusCode) {
+			rn.fw.progress.learn(rn.call.Route, rn.call.Answered())
+		}
 		rn.ticket.Done(rn.outcome())
 		rn.flight.end(quarantiner.EndCompleted)
 	case abandoned:
@@ -50,12 +55,13 @@
 	return rn.budget.Left()
 }
 
-// outcome judges a whole answer. A refusal that a deeper service caused says nothing about this upstream.
+// outcome judges a whole answer. A refusal that a deeper service caused says nothing about this upstream, and one of an upstream
+// that has room is no matter of load.
 func (rn *running) outcome() admitter.Outcome {
 	switch {
 	case !refusalStatus(rn.rs.StatusCode):
 		return admitter.OutcomeAnswered
-	case rn.call.Refused():
+	case rn.call.Refused(), !rn.crowded:
 		return admitter.OutcomeFailed
 	default:
 		return admitter.OutcomeOverloaded
@@ -141,6 +147,7 @@
 		Deadline:   deadline,
 		Depth:      int(hop.GetDepth()),
 		Budget:     rn.budget,
+		Repeat:     hop.GetRepeat(),
 	}
 	rn.token = fw.calls.Begin(rn.call)
 	out.Header.Set(gypsumhoist.HeaderCall, rn.token)
@@ -161,6 +168,7 @@
 		return rf
 	}
 	rn.rs = rs
+	rn.crowded = refusalStatus(rs.StatusCode) && rn.ticket.Crowded()
 	rn.ticket.Answered()
 	return fw.checkAnswer(rn)
 }
@@ -210,6 +218,9 @@
 	}
 	wait := retryAfterOf(rs.Header)
 	rn.end(nil)
+	if !rn.crowded {
+		return gypsumhoist.NotRun(gypsumhoist.ReasonUpstreamRefused, wait, "the upstream refused the request though it has room, and says that it did not run")
+	}
 	return gypsumhoist.NotRun(gypsumhoist.ReasonOverload, wait, "the upstream refused the request and says that it did not run")
 }
 
--- a/forwarder/throttle.go
+++ b/forwarder/throttle.go
@@ -31,7 +31,7 @@
 // overloaded reports whether a request failed as something on its way had too much to do.
 func (cl *call) overloaded() bool {
 	switch cl.record.Reason {
-	case gypsumhoist.ReasonOverload, gypsumhoist.ReasonDeadline, gypsumhoist.ReasonNoUpstream:
+	case gypsumhoist.ReasonOverload, gypsumhoist.ReasonUpstreamRefused, gypsumhoist.ReasonDeadline, gypsumhoist.ReasonNoUpstream:
 		return true
 	case "":
 		return cl.childRefused && cl.record.Status >= http.StatusInternalServerError
--- a/reason.go
+++ b/reason.go
@@ -17,6 +17,7 @@
 	ReasonRate             Reason = "rate"              // the workspace has spent its rate and burst
 	ReasonRateUnavailable  Reason = "rate_unavailable"  // the keeper of the rate can't be reached
 	ReasonOverload         Reason = "overload"          // less important work is shed
+	ReasonUpstreamRefused  Reason = "upstream_refused"  // the upstream refuses work though it has room
 	ReasonDeadline         Reason = "deadline"          // the deadline has passed or can't be met
 	ReasonNoUpstream       Reason = "no_upstream"       // no upstream of the service is known or reachable
 	ReasonLeaving          Reason = "leaving"           // the instance is stopping
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -5,6 +5,12 @@
 // MaxBudget is the largest retry budget that one request can carry, in retries.
 const MaxBudget = 100
 
+// The part of a balance that an attempt carries.
+const (
+	handoutNum = 3
+	handoutDen = 4
+)
+
 // Budget is the balance of retries of one call in flight at a node.
 // All parallel calls made on its behalf share it. It is safe for concurrent use.
 // The zero value holds no retries.
@@ -47,9 +53,9 @@
 }
 
 // DrawHandout draws what the next attempt carries to its upstream's node:
-// half of the balance, rounded down, so that the larger half survives a lost answer.
+// most of the balance, as calls deep in a chain need them, and not all, so that some survive a lost answer.
 func (bg *Budget) DrawHandout() Share {
-	return bg.Draw(bg.Left() / 2)
+	return bg.Draw(bg.Left() * handoutNum / handoutDen)
 }
 
 // Share is a number of retries drawn from a budget for one attempt.
--- a/retrier/decision.go
+++ b/retrier/decision.go
@@ -18,6 +18,8 @@
 	BodySpent bool
 	// ServiceOverloaded says that nearly all upstreams of the service refuse requests of this importance.
 	ServiceOverloaded bool
+	// Rank is what speaks for a retry of this request before others of its row.
+	Rank Rank
 	// Others is how many upstreams of the service are left to try.
 	Others int
 	// Remaining is the time to the deadline, Needed the expected duration of one attempt.
@@ -92,7 +94,7 @@
 func retryable(rs gypsumhoist.Reason) bool {
 	switch rs {
 	case gypsumhoist.ReasonConnection, gypsumhoist.ReasonLeaving, gypsumhoist.ReasonInternal,
-		gypsumhoist.ReasonOverload, gypsumhoist.ReasonNoUpstream:
+		gypsumhoist.ReasonOverload, gypsumhoist.ReasonUpstreamRefused, gypsumhoist.ReasonNoUpstream:
 		return true
 	default:
 		return false
--- a/retrier/ratio.go
+++ b/retrier/ratio.go
@@ -11,7 +11,7 @@
 
 // RatioFloor is how many retries per window a row has whatever its first attempts were,
 // so that a row with little traffic can retry at all.
-const RatioFloor = 3
+const RatioFloor = 2
 
 // Ratio compares the retries of one row with its first attempts over the last 10 s.
 // It is for one goroutine. The zero value is an empty window.
@@ -33,15 +33,29 @@
 	ra.total.first++
 }
 
+// Left returns how many retries the window still holds.
+func (ra *Ratio) Left(now time.Duration, percent int) int64 {
+	ra.advance(now)
+	if percent <= 0 {
+		return 0
+	}
+	return max(RatioFloor, ra.total.first*int64(percent)/100) - ra.total.retries
+}
+
+// Charge counts a retry that was made in any case.
+func (ra *Ratio) Charge(now time.Duration) {
+	ra.advance(now)
+	ra.slot().retries++
+	ra.total.retries++
+}
+
 // Retry counts a retry if the window's retries with it stay within percent of the first attempts or within RatioFloor,
 // and reports whether it does. A percent below zero counts as zero; zero forbids retries.
 func (ra *Ratio) Retry(now time.Duration, percent int) bool {
-	ra.advance(now)
-	if percent <= 0 || ra.total.retries >= max(RatioFloor, ra.total.first*int64(percent)/100) {
+	if ra.Left(now, percent) <= 0 {
 		return false
 	}
-	ra.slot().retries++
-	ra.total.retries++
+	ra.Charge(now)
 	return true
 }
 
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -34,10 +34,15 @@
 }
 
 type rowRatio struct {
-	ratio Ratio
-	used  time.Duration
+	ratio      Ratio
+	candidates candidates
+	used       time.Duration
 }
 
+// spendOver is over what time a row may spend the retries that its window holds, so that an outage of several
+// seconds does not find them spent on what came first.
+const spendOver = 3 * time.Second
+
 // Option sets one property of a Retrier.
 type Option func(*Retrier)
 
@@ -68,7 +73,16 @@
 	now := time.Since(re.start)
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	re.row(key, now).First(now)
+	re.row(key, now).ratio.First(now)
+}
+
+// Repeated counts the first attempt of a request that is made for one which is itself a retry: it is another arrival
+// that nobody would have seen without that retry.
+func (re *Retrier) Repeated(key RowKey) {
+	now := time.Since(re.start)
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.row(key, now).ratio.Charge(now)
 }
 
 // Decide says whether a failed attempt of a row is retried, and draws one retry if it is.
@@ -76,7 +90,7 @@
 func (re *Retrier) Decide(key RowKey, percent int, fl Failure, bg *Budget) Decision {
 	cause := Judge(fl)
 	if cause == CauseNone {
-		cause = re.draw(key, percent, bg)
+		cause = re.draw(key, percent, fl.Rank, bg)
 	}
 	if cause != CauseNone {
 		count(re.refused[cause])
@@ -86,7 +100,7 @@
 	return RetryElsewhere{}
 }
 
-func (re *Retrier) draw(key RowKey, percent int, bg *Budget) Cause {
+func (re *Retrier) draw(key RowKey, percent int, rk Rank, bg *Budget) Cause {
 	sh := bg.Draw(1)
 	if sh.Retries() == 0 {
 		return CauseBudget
@@ -94,15 +108,27 @@
 	now := time.Since(re.start)
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	if !re.row(key, now).Retry(now, percent) {
+	if !re.row(key, now).grant(now, percent, rk) {
 		sh.Return(1)
 		return CauseRatio
 	}
 	return CauseNone
 }
 
+// grant counts a retry if the row has one left for it besides those for all that go before it.
+func (rr *rowRatio) grant(now time.Duration, percent int, rk Rank) bool {
+	order := rk.order()
+	rr.candidates.note(now, order)
+	left := rr.ratio.Left(now, percent)
+	share := max(1, left*int64(rankWindow)/int64(spendOver))
+	if left <= 0 || int64(rr.candidates.before(order)) >= share {
+		return false
+	}
+	return rr.ratio.Retry(now, percent)
+}
+
 // row returns the ratio of a row; beyond rowsMax all further rows share one.
-func (re *Retrier) row(key RowKey, now time.Duration) *Ratio {
+func (re *Retrier) row(key RowKey, now time.Duration) *rowRatio {
 	rr, ok := re.rows[key]
 	if !ok {
 		re.sweep(now)
@@ -116,7 +142,7 @@
 		re.rows[key] = rr
 	}
 	rr.used = now
-	return &rr.ratio
+	return rr
 }
 
 // sweep forgets idle rows, at most once per slice of the window.
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -22,7 +22,7 @@
 	sh.Return(5) // more than it holds
 	fmt.Println(bg.Left())
 	// Output:
-	// 1 2
+	// 2 1
 	// 3
 }
 
--- a/router/ejection.go
+++ b/router/ejection.go
@@ -6,6 +6,7 @@
 const (
 	ejectInRow     = 5   // failures in a row that eject
 	ejectFailing   = 0.6 // share of failures that ejects
+	outlierTimes   = 2   // how many times as often as the others one fails that is ejected
 	ejectBase      = time.Second
 	ejectLongest   = 30 * time.Second
 	ejectForget    = time.Minute // after so long without failure the next ejection is short again
--- a/router/group.go
+++ b/router/group.go
@@ -181,6 +181,21 @@
 	return len(gr.out) > 0 && gr.slots-gr.outside < panicCapacity*gr.slots
 }
 
+// outlier reports whether a member fails clearly more often than the others. Where all fail alike, what they have in common fails,
+// and leaving one out only adds to the load of the rest.
+func (gr *Group) outlier(now time.Duration, mb *member) bool {
+	sum, num := 0.0, 0
+	for at := range gr.tiers {
+		for _, other := range gr.tiers[at].members {
+			if other != mb && !other.health.out {
+				sum += other.failing(now)
+				num++
+			}
+		}
+	}
+	return num == 0 || mb.failing(now) >= outlierTimes*sum/float64(num)
+}
+
 // eject takes a member out if enough others stay.
 func (gr *Group) eject(now time.Duration, mb *member) bool {
 	most := min(gr.open-1, max(1, int(ejectMost*float64(gr.open))))
--- a/router/pick.go
+++ b/router/pick.go
@@ -81,6 +81,23 @@
 	return best
 }
 
+// pickOf chooses the least utilised of some members that can still be used, and counts an attempt on it.
+func (gr *Group) pickOf(now time.Duration, among []gypsumhoist.Instance) *member {
+	var members []*member
+	for at := range gr.tiers {
+		for _, mb := range gr.tiers[at].members {
+			if slices.Contains(among, mb.upstream.Instance) {
+				members = append(members, mb)
+			}
+		}
+	}
+	mb := gr.spare(now, members, nil)
+	if mb != nil {
+		mb.inFlight++
+	}
+	return mb
+}
+
 // left counts the members that can be used.
 func (gr *Group) left(now time.Duration, exclude []gypsumhoist.Instance) int {
 	num := 0
@@ -186,7 +203,7 @@
 		return changeNone
 	}
 	failing := mb.failuresInRow >= ejectInRow || mb.failing(now) >= ejectFailing
-	if failing && gr.eject(now, mb) {
+	if failing && gr.outlier(now, mb) && gr.eject(now, mb) {
 		return changeEjected
 	}
 	return changeNone
--- a/router/router.go
+++ b/router/router.go
@@ -180,6 +180,27 @@
 	return Pick{Upstream: up, Probe: ch.probe, router: rt, service: sv, choice: ch}, nil
 }
 
+// PickOf chooses among some upstreams of a service that were tried before, as Pick does among all.
+func (rt *Router) PickOf(name gypsumhoist.Service, among ...gypsumhoist.Instance) (Pick, error) {
+	sv, ok := (*rt.services.Load())[name]
+	if !ok {
+		return Pick{}, errNoUpstream
+	}
+	sv.mu.Lock()
+	mb := sv.group.pickOf(rt.now(), among)
+	var up Upstream
+	if mb != nil {
+		up = mb.upstream
+	}
+	sv.mu.Unlock()
+	if mb == nil {
+		rt.unrouted.Inc()
+		return Pick{}, errNoUpstream
+	}
+	rt.picks.Inc()
+	return Pick{Upstream: up, router: rt, service: sv, choice: choice{member: mb}}, nil
+}
+
 // Pick is one attempt at an upstream. It is a plain value for one goroutine.
 type Pick struct {
 	Upstream Upstream
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -145,6 +145,41 @@
 		})
 	})
 
+	It("keeps upstreams in that all fail alike, and takes out the one that fails much more often", func() {
+		run(func(g *WithT, be *bench) {
+			rd := rand.New(rand.NewPCG(2, 2))
+			be.router.SetUpstreams("orders", upstreams("a", 4, 20))
+			be.send(5*time.Millisecond, 5*time.Second)
+			worst := 0.55
+			be.answer = func(up router.Upstream) router.Outcome {
+				failing := 0.55
+				if up.Instance == "a-0" {
+					failing = worst
+				}
+				if rd.Float64() < failing {
+					return router.Outcome{Result: router.ResultFailed, Latency: time.Millisecond}
+				}
+				return router.Outcome{Latency: 50 * time.Millisecond}
+			}
+			out := 0
+			for range 40 {
+				be.send(5*time.Millisecond, 250*time.Millisecond)
+				out += be.router.View("orders").Ejected
+			}
+			GinkgoWriter.Printf("out while all fail alike: %.2f of 4\n", float64(out)/40)
+			g.Expect(float64(out) / 40).To(BeNumerically("<", 0.8))
+			be.answer = func(up router.Upstream) router.Outcome {
+				if up.Instance == "a-0" && rd.Float64() < 0.9 {
+					return router.Outcome{Result: router.ResultFailed, Latency: time.Millisecond}
+				}
+				return router.Outcome{Latency: 50 * time.Millisecond}
+			}
+			be.send(5*time.Millisecond, 10*time.Second)
+			be.send(5*time.Millisecond, 10*time.Second)
+			g.Expect(be.share("a-0")).To(BeNumerically("<", 0.05))
+		})
+	})
+
 	It("is misled only so far by reports that lie", func() {
 		run(func(g *WithT, be *bench) {
 			be.router.SetUpstreams("orders", upstreams("a", 4, 20))
