--- a/connector/peerdial.go
+++ b/connector/peerdial.go
@@ -12,7 +12,7 @@
 // dialTries is how often a connection is asked for before the peer counts as unreachable: one opening packet may be lost.
 const dialTries = 2
 
-// late tells from which part of a bound on that a time was overrun because this process itself did not run.
+// lateParts is by which part of a bound it may be overrun; one overrun by more was missed because this process itself did not run.
 const lateParts = 2
 
 func (pp *PeerPool) dial(ctx context.Context, _, addr string) (net.Conn, error) {
--- a/forwarder/progress.go
+++ b/forwarder/progress.go
@@ -10,7 +10,7 @@
 
 // Constants of what is learned of the calls that runs make.
 const (
-	progressRoutes = 4096 // routes that are kept apart
+	progressRoutes = 4096 // routes that are kept apart, as many as rows have ratios
 	progressWeight = 0.1  // of one run in the mean of its route
 )
 
--- a/prober/core.go
+++ b/prober/core.go
@@ -238,7 +238,7 @@
 	return re
 }
 
-// Differences returns the instances and domains whose grade is another one in a later Reach, in order.
+// differences returns the instances and domains whose grade is another one in a later Reach, in order.
 func (re Reach) differences(later Reach) (peers []netip.AddrPort, domains []gypsumhoist.FailureDomain) {
 	for pr := range union(re.grades, later.grades) {
 		if re.grades[pr] != later.grades[pr] {
