admitter: log waits, the state at a refusal and why the limit moved

Change: event 1402 limit_changed with its cause (twice a second at most); refusals for overload say what ran, the limit, the slots and the wait; an admitted call says how long it waited. Tests of admitter, forwarder, auditor and explainer pass.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -20,8 +20,13 @@
 		"The upstream is at its limit and the least important requests are refused; cut_off tells below which importance.")
 	eventSlots = logger.Define(1401, logger.LevelInfo, "slots_changed",
 		"The upstream announced another number of slots.")
+	eventLimit = logger.Define(1402, logger.LevelInfo, "limit_changed",
+		"The upstream may run another number of requests at a time; cause tells whether latency or its own refusals led to that.")
 )
 
+// limitPause is between two lines about the limit at least.
+const limitPause = 500 * time.Millisecond
+
 // sheddingQuiet is how long no request must be shed before shedding is logged anew.
 const sheddingQuiet = 10 * time.Second
 
@@ -39,6 +44,9 @@
 	waiting  map[ID]chan Decision
 	lastShed time.Duration
 	sheds    uint64
+	// loggedLimit is the limit that was last logged, at limitAt.
+	loggedLimit int
+	limitAt     time.Duration
 	givenOn  uint64 // slots of requests that were overtaken
 }
 
@@ -98,11 +106,12 @@
 // Admit waits until the request may run, and returns a ticket for it.
 // The error is a *gypsumhoist.Refusal with VerdictNotRun; also when the context ends first.
 func (ad *Admitter) Admit(ctx context.Context, ask Ask) (*Ticket, error) {
+	arrived := ad.now()
 	id, dc, answer := ad.arrive(ask)
 	for {
 		switch dc := dc.(type) {
 		case Started:
-			return ad.ticket(ask.Route), nil
+			return ad.ticket(ask.Route, arrived), nil
 		case Refused:
 			return nil, dc.Refusal
 		case Waiting:
@@ -112,11 +121,11 @@
 }
 
 // ticket returns the slot of a request that has just got one.
-func (ad *Admitter) ticket(route string) *Ticket {
+func (ad *Admitter) ticket(route string, arrived time.Duration) *Ticket {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	now := ad.now()
-	return &Ticket{admitter: ad, route: route, began: now, run: ad.runs.begin(now, route)}
+	return &Ticket{admitter: ad, route: route, began: now, waited: now - arrived, run: ad.runs.begin(now, route)}
 }
 
 func (ad *Admitter) arrive(ask Ask) (ID, Decision, chan Decision) {
@@ -185,6 +194,17 @@
 		}
 	}
 	ad.logShedding()
+	ad.logLimit()
+}
+
+func (ad *Admitter) logLimit() {
+	limit, now := ad.core.limit.now(), ad.now()
+	if limit == ad.loggedLimit || now-ad.limitAt < limitPause && ad.limitAt > 0 {
+		return
+	}
+	ad.logger.Log(eventLimit, "before", ad.loggedLimit, "limit", limit, "slots", ad.core.limit.slots, "cause", ad.core.limit.cause,
+		"base_latency", ad.core.limit.base, "in_flight", ad.core.inFlight, "waiting", ad.core.queue.len())
+	ad.loggedLimit, ad.limitAt = limit, now
 }
 
 func (ad *Admitter) logShedding() {
@@ -222,11 +242,15 @@
 	admitter *Admitter
 	route    string
 	began    time.Duration
+	waited   time.Duration
 	run      *run
 	answered atomic.Int64 // when the head of the answer came, zero if it has not
 	once     sync.Once
 }
 
+// Waited returns how long the request waited for its slot.
+func (tk *Ticket) Waited() time.Duration { return tk.waited }
+
 // Answered marks that the head of the answer has come. The time until then, and not until Done,
 // is the latency sample, so that callers that read slowly don't make the upstream look slow.
 func (tk *Ticket) Answered() {
--- a/admitter/limit.go
+++ b/admitter/limit.go
@@ -39,8 +39,26 @@
 	trial  trial
 
 	lastCut time.Duration
+	cause   limitCause // of the last change
 }
 
+// limitCause says what last moved a limit.
+type limitCause uint8
+
+const (
+	limitSlots    limitCause = iota // the slots that the upstream announced
+	limitRefusals                   // refusals of the upstream itself
+	limitTrial                      // a trial of a lower limit began
+	limitKept                       // a trial was kept, as latency fell with it
+	limitBack                       // a trial was taken back
+	limitGrowth                     // latency is near its base
+)
+
+var limitCauseNames = [...]string{"slots", "refusals", "trial", "trial_kept", "trial_taken_back", "growth"}
+
+// String returns the cause in snake case.
+func (lc limitCause) String() string { return limitCauseNames[lc] }
+
 // window is what was measured since it began.
 type window struct {
 	began     time.Duration
@@ -80,6 +98,7 @@
 	if slots == lm.slots {
 		return
 	}
+	lm.cause = limitSlots
 	full := lm.value >= float64(lm.slots)
 	lm.slots = slots
 	if full || lm.value > float64(slots) {
@@ -113,6 +132,7 @@
 		return
 	}
 	lm.value = math.Max(floor, lm.value*overloadCut)
+	lm.cause = limitRefusals
 	lm.trial.phase = phaseNone
 	lm.risen = span{}
 	lm.window = window{began: now}
@@ -146,6 +166,7 @@
 	if lm.risen.windows >= risenWindows && lm.value > minLimit {
 		lm.trial.begin(lm.value, lm.risen)
 		lm.value = math.Max(minLimit, lm.value*trialShare)
+		lm.cause = limitTrial
 		lm.risen = span{}
 		return
 	}
@@ -163,12 +184,15 @@
 	case resultKeep:
 		tr.phase = phaseNone
 		tr.hold = holdShortest
+		lm.cause = limitKept
 	case resultIdle:
 		tr.phase = phaseNone
 		lm.value = tr.before
+		lm.cause = limitBack
 	case resultBack:
 		tr.phase = phaseNone
 		lm.value = tr.before
+		lm.cause = limitBack
 		lm.base = tr.during.mean()
 		tr.pause(now)
 	}
@@ -196,5 +220,6 @@
 	if float64(mean) <= float64(lm.base)*growthNear {
 		step = math.Max(step, lm.value*growthFast)
 	}
+	lm.cause = limitGrowth
 	lm.value = math.Min(lm.value+step, float64(lm.slots))
 }
--- a/admitter/shed.go
+++ b/admitter/shed.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
@@ -64,14 +65,15 @@
 // shed removes a waiting request for lack of capacity. It must be of the lowest rank in the queue.
 func (co *Core) shed(now time.Duration, wt *waiter) *gypsumhoist.Refusal {
 	rk := wt.flow.class.rank
+	detail := fmt.Sprintf("the upstream is at its limit and the queue holds more important work; waited %v, %d of %d running, %d slots, %d waiting",
+		(now - wt.arrived).Round(time.Millisecond), co.inFlight, co.limit.now(), co.limit.slots, co.queue.len())
 	co.queue.remove(wt)
 	co.cutOff.refused(now, rk)
 	co.refusals.overload++
 	if wt.arrived < now {
 		co.refusals.evicted++
 	}
-	return gypsumhoist.NotRun(gypsumhoist.ReasonOverload, co.retryAfter(),
-		"the upstream is at its limit and the queue holds more important work")
+	return gypsumhoist.NotRun(gypsumhoist.ReasonOverload, co.retryAfter(), detail)
 }
 
 // due returns when Expire should look at a waiting request.
--- a/forwarder/running.go
+++ b/forwarder/running.go
@@ -125,10 +125,18 @@
 		return asRefusal(err)
 	}
 	rn.ticket = tk
-	rn.record.Note("admitter", "admitted", "")
+	rn.record.Note("admitter", "admitted", waitedText(tk.Waited()))
 	return nil
 }
 
+// waitedText tells of a wait for a slot; nothing of one that no operator would notice.
+func waitedText(waited time.Duration) string {
+	if waited < time.Millisecond {
+		return ""
+	}
+	return "waited " + waited.Round(time.Millisecond).String()
+}
+
 // exchange sends an admitted call to the upstream.
 func (fw *Forwarder) exchange(ctx context.Context, hop *forwarderpb.Hop, out *http.Request, rn *running) *gypsumhoist.Refusal {
 	up := fw.upstream.Load()
