forwarder: say what the belief rests on that a service refuses everything

Cause: "no retry: overload" stood beside upstreams with room and named no evidence. Change: the step names both cut-offs and the upstreams in view. Conclusion: tells a wrong belief from a true one.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -122,7 +122,11 @@
 func (fw *Forwarder) retry(key retrier.RowKey, cl *call, fl retrier.Failure) bool {
 	switch dec := fw.retrier.Decide(key, cl.row.RetryPercent, fl, cl.budget).(type) {
 	case retrier.GiveUp:
-		cl.record.Note("retrier", "no retry: "+dec.Cause.String(), "")
+		detail := ""
+		if dec.Cause == retrier.CauseOverload {
+			detail = fw.overloadText(cl)
+		}
+		cl.record.Note("retrier", "no retry: "+dec.Cause.String(), detail)
 		return false
 	default:
 		cl.record.Note("retrier", "retry", "")
--- a/forwarder/forecast.go
+++ b/forwarder/forecast.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -89,3 +90,10 @@
 	return fw.forecaster.Overloaded(cl.target(), cl.importance, upstreams) ||
 		fw.forecaster.Overloaded(cl.routeTarget(), cl.importance, upstreams)
 }
+
+// overloadText tells what the belief rests on that nearly all upstreams of a service refuse a call.
+func (fw *Forwarder) overloadText(cl *call) string {
+	upstreams := fw.router.View(cl.service).Upstreams
+	return fmt.Sprintf("below importance %d all refuse, for the route below %d, of %d upstreams",
+		fw.forecaster.CutOff(cl.target(), upstreams), fw.forecaster.CutOff(cl.routeTarget(), upstreams), upstreams)
+}
