forwarder, admitter: a cut-off of fresh requests no longer stops nested calls

Cause: an upstream's cut-off is the importance below which all fresh requests are refused. Nested calls of that importance go first, and some of them are still let in; but the decision on a refused nested call, to go on to another upstream or to try again, read the cut-off as if it were about them, and so did the news passed up the chain. Class of fault: a belief about one population is applied to another. Evidence: 5,156 of 5,500 refused pupil-lookup calls were tried at one upstream ("no retry: overload", with the evidence logged: "below importance 87 all refuse" for calls of importance 86), while quick upstreams ran 9 of 14 slots. Change: a cut-off is read by depth (NestedCutOff); what is passed up the chain is about nested calls.

--- a/admitter/forecast.go
+++ b/admitter/forecast.go
@@ -91,11 +91,21 @@
 		"nearly all upstreams of the service refuse requests of this importance")
 }
 
-// Overloaded reports whether nearly all upstreams of a target refuse an importance now.
+// Overloaded reports whether nearly all upstreams of a target refuse calls of an importance and depth now.
 // It is Refuse without probes, for decisions on retries.
-func (fc *Forecast) Overloaded(now time.Duration, tg Target, im gypsumhoist.Importance, upstreams int) bool {
+func (fc *Forecast) Overloaded(now time.Duration, tg Target, im gypsumhoist.Importance, depth, upstreams int) bool {
 	tf, ok := fc.targets[tg]
-	return ok && tf.refuses(now, im, upstreams)
+	return ok && im < NestedCutOff(tf.refused(now, upstreams), depth)
+}
+
+// NestedCutOff returns the importance below which an upstream refuses all calls of a depth, from its cut-off, which is about
+// fresh requests. Nested calls go before fresh requests of their importance, so that some of the next lower importance may
+// still be let in.
+func NestedCutOff(cut gypsumhoist.Importance, depth int) gypsumhoist.Importance {
+	if depth == 0 {
+		return cut
+	}
+	return max(cut-1, gypsumhoist.ImportanceMin)
 }
 
 // CutOff returns the importance below which nearly all upstreams of a target refuse,
--- a/admitter/forecaster.go
+++ b/admitter/forecaster.go
@@ -47,13 +47,13 @@
 	return fc.core.Refuse(now, tg, im, upstreams)
 }
 
-// Overloaded reports whether nearly all upstreams of a target refuse an importance now.
+// Overloaded reports whether nearly all upstreams of a target refuse calls of an importance and depth now.
 // It is Refuse without probes, for decisions on retries.
-func (fc *Forecaster) Overloaded(tg Target, im gypsumhoist.Importance, upstreams int) bool {
+func (fc *Forecaster) Overloaded(tg Target, im gypsumhoist.Importance, depth, upstreams int) bool {
 	now := time.Since(fc.start)
 	fc.mu.Lock()
 	defer fc.mu.Unlock()
-	return fc.core.Overloaded(now, tg, im, upstreams)
+	return fc.core.Overloaded(now, tg, im, depth, upstreams)
 }
 
 // CutOffAge is CutOff with the age of the newest note that it rests on, for NoteOld at another node.
--- a/forwarder/forecast.go
+++ b/forwarder/forecast.go
@@ -57,6 +57,9 @@
 	var newest time.Duration
 	for _, tg := range tgs {
 		cut, age := fw.forecaster.CutOffAge(tg, fw.router.View(tg.Service).Upstreams)
+		if tg.Route == "" {
+			cut = admitter.NestedCutOff(cut, 1)
+		}
 		if cut > highest {
 			highest, newest = cut, age
 		}
@@ -87,8 +90,8 @@
 
 // overloaded reports whether a retry would meet nearly everywhere what refused the first try.
 func (fw *Forwarder) overloaded(cl *call, upstreams int) bool {
-	return fw.forecaster.Overloaded(cl.target(), cl.importance, upstreams) ||
-		fw.forecaster.Overloaded(cl.routeTarget(), cl.importance, upstreams)
+	return fw.forecaster.Overloaded(cl.target(), cl.importance, cl.depth, upstreams) ||
+		fw.forecaster.Overloaded(cl.routeTarget(), cl.importance, 0, upstreams)
 }
 
 // overloadText tells what the belief rests on that nearly all upstreams of a service refuse a call.
