--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -47,7 +47,7 @@
 	// loggedLimit is the limit that was last logged, at limitAt.
 	loggedLimit int
 	limitAt     time.Duration
-	givenOn  uint64 // slots of requests that were overtaken
+	givenOn     uint64 // slots of requests that were overtaken
 }
 
 // Option sets one property of an Admitter.
