admitter, forwarder: calls with siblings are refused together, at once

Cause: letting calls of low precedence come last keeps every slot busy with calls whose siblings are refused elsewhere, and all others wait for them. Change: below the level a call is refused on arrival unless a slot is free, and only if its request makes several calls (Hop.siblings, forwarder/progress.go).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -24,8 +24,8 @@
 		"The upstream may run another number of requests at a time; cause tells whether latency or its own refusals led to that.")
 )
 
-var eventDeferred = logger.Define(1403, logger.LevelInfo, "calls_deferred",
-	"The upstream can't serve all nested calls, and from now on those of some requests come after all of the others'; "+
+var eventJoint = logger.Define(1403, logger.LevelInfo, "joint_refusal",
+	"The upstream can't serve all calls, and from now on refuses those of some requests at once and serves all of the others'; "+
 		"level tells which, and is zero when this is over.")
 
 // limitPause is between two lines about the limit at least.
@@ -51,10 +51,10 @@
 	// loggedLimit is the limit that was last logged, at limitAt.
 	loggedLimit int
 	limitAt     time.Duration
-	// loggedDeferral is the level of deferral that was last logged, at deferralAt.
-	loggedDeferral standing
-	deferralAt     time.Duration
-	givenOn        uint64 // slots of requests that were overtaken
+	// loggedJoint is the level of joint refusal that was last logged, at jointAt.
+	loggedJoint standing
+	jointAt     time.Duration
+	givenOn     uint64 // slots of requests that were overtaken
 }
 
 // Option sets one property of an Admitter.
@@ -202,17 +202,17 @@
 	}
 	ad.logShedding()
 	ad.logLimit()
-	ad.logDeferral()
+	ad.logJoint()
 }
 
-func (ad *Admitter) logDeferral() {
-	level, now := ad.core.deferral.level, ad.now()
-	if (level > 0) == (ad.loggedDeferral > 0) || now-ad.deferralAt < limitPause && ad.deferralAt > 0 {
+func (ad *Admitter) logJoint() {
+	level, now := ad.core.joint.level, ad.now()
+	if (level > 0) == (ad.loggedJoint > 0) || now-ad.jointAt < limitPause && ad.jointAt > 0 {
 		return
 	}
-	ad.logger.Log(eventDeferred, "before", float64(ad.loggedDeferral), "level", float64(level), "limit", ad.core.limit.now(),
+	ad.logger.Log(eventJoint, "before", float64(ad.loggedJoint), "level", float64(level), "limit", ad.core.limit.now(),
 		"in_flight", ad.core.inFlight, "waiting", ad.core.queue.len())
-	ad.loggedDeferral, ad.deferralAt = level, now
+	ad.loggedJoint, ad.jointAt = level, now
 }
 
 func (ad *Admitter) logLimit() {
@@ -246,6 +246,7 @@
 		Importance: ask.Importance,
 		Depth:      ask.Depth,
 		Precedence: ask.Precedence,
+		Siblings:   ask.Siblings,
 		Patience:   ask.Patience,
 	}
 	if !ask.Deadline.IsZero() {
--- a/admitter/api.go
+++ b/admitter/api.go
@@ -18,6 +18,8 @@
 	Depth int
 	// Precedence orders it among requests of its importance and depth; zero for one by lot.
 	Precedence Precedence
+	// Siblings tells that the request makes other calls too, and is lost with the first that is refused.
+	Siblings bool
 	// Patience is how long the request may wait while it is among the least important; zero leaves that to the admitter.
 	Patience time.Duration
 	// Deadline is when the whole answer is due; the zero time means no deadline.
@@ -50,9 +52,9 @@
 	Slots    int // what the upstream announced
 	// CutOff is the importance below which all fresh requests are refused at present.
 	CutOff gypsumhoist.Importance
-	// Deferred is the rank below which nested calls wait after all others of theirs: twice the importance, one more for nested
-	// calls, and a fraction by precedence, from 0 to 202; zero defers none.
-	Deferred float64
+	// JointLevel is the rank below which calls with siblings are refused unless a slot is free: twice the importance, one more for
+	// nested calls, and a fraction by precedence, from 0 to 202; zero refuses none.
+	JointLevel float64
 	// ServiceTime is the median time that the upstream takes for a request; zero if not known.
 	ServiceTime time.Duration
 }
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -21,6 +21,8 @@
 	Deadline time.Duration
 	// Precedence orders it among requests of its importance and depth; zero for one by lot.
 	Precedence Precedence
+	// Siblings tells that the request makes other calls too, and is lost with the first that is refused.
+	Siblings bool
 	// Patience is how long the request may wait while it is among the least important; zero for waitMax.
 	Patience time.Duration
 
@@ -69,7 +71,7 @@
 	limit    limit
 	times    serviceTimes
 	cutOff   cutOff
-	deferral deferral
+	joint    joint
 	queue    queue
 	random   *rand.Rand
 	inFlight int
@@ -79,9 +81,9 @@
 	refusals refusalCount
 }
 
-// refusalCount counts refusals by reason, what was evicted out of the queue, and calls that waited after all others of their rank.
+// refusalCount counts refusals by reason, those of calls with siblings on arrival, and what was evicted out of the queue.
 type refusalCount struct {
-	deferred uint64
+	joint    uint64
 	overload uint64
 	deadline uint64
 	evicted  uint64
@@ -109,7 +111,12 @@
 		return id, Refused{co.noUpstream()}
 	}
 	free := co.queue.len() == 0 && co.inFlight < co.limit.now()
-	last := co.deferred(now, rq, free)
+	if rq.Siblings && co.jointly(now, rq, free) {
+		co.cutOff.refused(now, rk)
+		co.refusals.overload++
+		co.refusals.joint++
+		return id, Refused{co.below()}
+	}
 	// A slot that nobody waits for is refused only to what can't possibly finish.
 	needed := co.times.least(rq.Route)
 	if !free {
@@ -126,16 +133,12 @@
 		co.start(now, rk)
 		return id, Started{}
 	}
-	return id, co.enqueue(now, id, rq, last)
+	return id, co.enqueue(now, id, rq)
 }
 
-// enqueue lets a request wait for its turn, or after all others of its rank.
-func (co *Core) enqueue(now time.Duration, id ID, rq Request, last bool) Decision {
-	wt := &waiter{id: id, route: rq.Route, untimed: rq.untimed, arrived: now, deadline: rq.Deadline, patience: rq.Patience}
-	co.queue.add(now, wt, rq, last)
-	if last {
-		co.refusals.deferred++
-	}
+func (co *Core) enqueue(now time.Duration, id ID, rq Request) Decision {
+	wt := &waiter{id: id, route: rq.Route, siblings: rq.Siblings, untimed: rq.untimed, arrived: now, deadline: rq.Deadline, patience: rq.Patience}
+	co.queue.add(now, wt, rq)
 	// Only now, so that what is refused for its age never ranks above the new request.
 	co.sweep(now)
 	if co.queue.len() > co.places() {
@@ -217,7 +220,7 @@
 		Limit:       co.limit.now(),
 		Slots:       co.limit.slots,
 		CutOff:      co.cutOff.value(now),
-		Deferred:    float64(co.deferral.level),
+		JointLevel:  float64(co.joint.level),
 		ServiceTime: co.times.all.median,
 	}
 }
--- a/admitter/cutoff.go
+++ b/admitter/cutoff.go
@@ -54,9 +54,6 @@
 	return rk
 }
 
-// nested reports whether a rank is that of work deep in a chain.
-func (rk rank) nested() bool { return rk%2 == 1 }
-
 // cutOff remembers which ranks were refused and which were admitted of late.
 type cutOff struct {
 	slice   int64
--- a/admitter/fanout_test.go
+++ b/admitter/fanout_test.go
@@ -62,7 +62,7 @@
 
 func (fo *fanOut) call(ctx context.Context, id gypsumhoist.RequestID, ws gypsumhoist.Workspace) bool {
 	tk, err := fo.upstream().Admit(ctx, admitter.Ask{
-		Workspace: ws, Route: "/names", Weight: 1, Importance: 50, Depth: 1, Precedence: admitter.PrecedenceOf(id),
+		Workspace: ws, Route: "/names", Weight: 1, Importance: 50, Depth: 1, Precedence: admitter.PrecedenceOf(id), Siblings: true,
 		Deadline: time.Now().Add(700 * time.Millisecond), Patience: fanOutPatience,
 	})
 	if err != nil {
--- a/admitter/flow.go
+++ b/admitter/flow.go
@@ -12,6 +12,7 @@
 	id       ID
 	flow     *flow
 	route    string
+	siblings bool
 	untimed  bool
 	arrived  time.Duration
 	deadline time.Duration
@@ -22,9 +23,6 @@
 	after    *waiter
 }
 
-// deferred reports whether the request waits after all others of its rank.
-func (wt *waiter) deferred() bool { return wt.flow == &wt.flow.class.deferred }
-
 // flow holds the waiting requests of one workspace and rank, oldest first.
 type flow struct {
 	class     *class
@@ -80,8 +78,6 @@
 	weights float64 // of the flows that wait
 	length  int
 	idle    int // flows without a request, kept for their tags
-	// deferred holds the requests of all workspaces that come after those of the flows.
-	deferred flow
 }
 
 // turnsInHand is how many turns a flow keeps that it did not take while it was empty.
@@ -91,7 +87,7 @@
 const idleFlowsMax = 256
 
 func newClass(rk rank) *class {
-	cl := &class{
+	return &class{
 		rank:  rk,
 		flows: map[gypsumhoist.Workspace]*flow{},
 		turns: flowHeap{
@@ -103,14 +99,6 @@
 			place: func(fl *flow) *int { return &fl.lastAt },
 		},
 	}
-	cl.deferred.class = cl
-	return cl
-}
-
-// postpone adds a request that waits until no other of the class does.
-func (cl *class) postpone(wt *waiter) {
-	cl.deferred.append(wt)
-	cl.length++
 }
 
 func (cl *class) add(wt *waiter, ws gypsumhoist.Workspace, weight int) {
@@ -138,17 +126,11 @@
 
 // next returns the request whose turn it is.
 func (cl *class) next(newestFirst bool) *waiter {
-	if cl.length == cl.deferred.length {
-		return end(&cl.deferred, newestFirst)
-	}
 	return end(cl.turns.top(), newestFirst)
 }
 
 // charge moves the virtual time on for a request that has been started.
 func (cl *class) charge(fl *flow) {
-	if fl == &cl.deferred {
-		return
-	}
 	cl.virtual = math.Max(cl.virtual, fl.tag)
 	fl.tag += 1 / fl.weight
 	if fl.length > 0 {
@@ -157,12 +139,9 @@
 	}
 }
 
-// last returns the request that is to go first when one must: a deferred one, or else of the flow whose last turn is the latest
+// last returns the request that is to go first when one must: of the flow whose last turn is the latest
 // the one that would be started last.
 func (cl *class) last(newestFirst bool) *waiter {
-	if cl.deferred.length > 0 {
-		return end(&cl.deferred, !newestFirst)
-	}
 	return end(cl.lasts.top(), !newestFirst)
 }
 
@@ -177,9 +156,6 @@
 	fl := wt.flow
 	fl.unlink(wt)
 	cl.length--
-	if fl == &cl.deferred {
-		return
-	}
 	if fl.length > 0 {
 		cl.lasts.fix(fl)
 		return
--- a/admitter/metrics.go
+++ b/admitter/metrics.go
@@ -10,10 +10,10 @@
 	ad.gauge("gypsumhoist_admitter_limit_requests", func(ld Load) float64 { return float64(ld.Limit) })
 	ad.gauge("gypsumhoist_admitter_slots_requests", func(ld Load) float64 { return float64(ld.Slots) })
 	ad.gauge("gypsumhoist_admitter_cut_off_importance", func(ld Load) float64 { return float64(ld.CutOff) })
-	ad.gauge("gypsumhoist_admitter_deferred_rank", func(ld Load) float64 { return ld.Deferred })
+	ad.gauge("gypsumhoist_admitter_joint_level_rank", func(ld Load) float64 { return ld.JointLevel })
 	ad.gauge("gypsumhoist_admitter_service_time_seconds", func(ld Load) float64 { return ld.ServiceTime.Seconds() })
 	ad.counter("gypsumhoist_admitter_shed_requests_total", func(rc refusalCount) uint64 { return rc.overload })
-	ad.counter("gypsumhoist_admitter_deferred_requests_total", func(rc refusalCount) uint64 { return rc.deferred })
+	ad.counter("gypsumhoist_admitter_joint_requests_total", func(rc refusalCount) uint64 { return rc.joint })
 	ad.counter("gypsumhoist_admitter_evicted_requests_total", func(rc refusalCount) uint64 { return rc.evicted })
 	ad.metrics.NewGauge("gypsumhoist_admitter_overtaken_requests_total", func() float64 {
 		ad.mu.Lock()
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -21,7 +21,7 @@
 
 func (qu *queue) len() int { return len(qu.byID) }
 
-func (qu *queue) add(now time.Duration, wt *waiter, rq Request, last bool) {
+func (qu *queue) add(now time.Duration, wt *waiter, rq Request) {
 	if qu.len() == 0 {
 		qu.standsSince = now
 	}
@@ -29,11 +29,7 @@
 	if qu.classes[rk] == nil {
 		qu.classes[rk] = newClass(rk)
 	}
-	if last {
-		qu.classes[rk].postpone(wt)
-	} else {
-		qu.classes[rk].add(wt, rq.Workspace, clipWeight(rq.Weight))
-	}
+	qu.classes[rk].add(wt, rq.Workspace, clipWeight(rq.Weight))
 	qu.occupied[rk/64] |= 1 << (rk % 64)
 	qu.byID[wt.id] = wt
 	wt.before = qu.last
--- a/admitter/shed.go
+++ b/admitter/shed.go
@@ -69,8 +69,8 @@
 		(now - wt.arrived).Round(time.Millisecond), co.inFlight, co.limit.now(), co.limit.slots, co.queue.len())
 	co.queue.remove(wt)
 	co.cutOff.refused(now, rk)
-	if rk.nested() && !wt.deferred() {
-		co.deferral.waitedInVain()
+	if wt.siblings {
+		co.joint.waitedInVain()
 	}
 	co.refusals.overload++
 	if wt.arrived < now {
@@ -124,9 +124,6 @@
 	if wt.patience > 0 {
 		longest = min(wt.patience, longest)
 	}
-	if wt.deferred() {
-		return longest
-	}
 	return max(longest, co.turn(wt.flow))
 }
 
@@ -172,16 +169,23 @@
 	return retryAfterLeast + time.Duration(co.random.Int64N(int64(retryAfterMost-retryAfterLeast)))
 }
 
-// deferred counts a nested call and reports whether it comes after the others of its rank. Fresh requests have no siblings that
-// are refused elsewhere.
-func (co *Core) deferred(now time.Duration, rq Request, free bool) bool {
-	if rq.Depth == 0 {
-		return false
-	}
+// jointly counts a call that has siblings and reports whether it is refused with them. It is not while a slot is free, or while
+// something less important waits.
+func (co *Core) jointly(now time.Duration, rq Request, free bool) bool {
 	if rq.Precedence == 0 {
 		rq.Precedence = Precedence(co.random.Float64())
 	}
-	return co.deferral.arrive(now, rq, free)
+	if !co.joint.arrive(now, rq, free) || free {
+		return false
+	}
+	low := co.queue.lowest()
+	return low == nil || low.rank >= rankOf(rq.Importance, rq.Depth)
+}
+
+// below refuses a call whose siblings are refused too.
+func (co *Core) below() *gypsumhoist.Refusal {
+	return gypsumhoist.NotRun(gypsumhoist.ReasonOverload, co.retryAfter(),
+		"the upstream can't serve the calls of all requests of this importance, and those of others go first")
 }
 
 func (co *Core) tooLate() *gypsumhoist.Refusal {
--- a/authenticator/calls.go
+++ b/authenticator/calls.go
@@ -24,6 +24,8 @@
 
 	// Repeat tells that the call is a retry of one that may have run, or was made for such a retry.
 	Repeat bool
+	// Siblings tells that the request makes several calls at some step of its chain down to this one.
+	Siblings bool
 
 	answered atomic.Int32
 	nested   atomic.Bool
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -150,6 +150,7 @@
 	fw.meters.attempted()
 	sh := cl.budget.DrawHandout()
 	at := &attempt{fw: fw, cl: cl, pick: pk, share: &sh, hop: cl.hop(pk, no, sh.Retries()), started: time.Now()}
+	at.hop.Siblings = fw.progress.several(cl.parent)
 	at.hop.Repeat = again || cl.parent != nil && cl.parent.Repeat
 	out := fw.outgoing(ctx, req, cl)
 	var rp *reply
--- a/forwarder/progress.go
+++ b/forwarder/progress.go
@@ -12,6 +12,7 @@
 const (
 	progressRoutes = 4096 // routes that are kept apart, as many as rows have ratios
 	progressWeight = 0.1  // of one run in the mean of its route
+	severalCalls   = 1.5  // mean from which runs of a route make more than one call
 )
 
 // progress is how many calls of its own a run of each route makes that ends well.
@@ -46,3 +47,16 @@
 	defer pg.mu.Unlock()
 	return max(0, int(math.Round(pg.calls[parent.Route]))-parent.Answered()-1)
 }
+
+// several reports whether a call is one of several that its request makes: here, or further up its chain.
+func (pg *progress) several(parent *authenticator.Call[*retrier.Budget]) bool {
+	if parent == nil {
+		return false
+	}
+	if parent.Siblings || parent.Answered() > 0 {
+		return true
+	}
+	pg.mu.Lock()
+	defer pg.mu.Unlock()
+	return pg.calls[parent.Route] > severalCalls
+}
--- a/forwarder/running.go
+++ b/forwarder/running.go
@@ -118,6 +118,7 @@
 		Importance: gypsumhoist.Importance(hop.GetImportance()),
 		Depth:      int(hop.GetDepth()),
 		Precedence: admitter.PrecedenceOf(gypsumhoist.RequestID(hop.GetRequest())),
+		Siblings:   hop.GetSiblings(),
 		Deadline:   deadline,
 		Patience:   time.Duration(hop.GetPatienceUs()) * time.Microsecond,
 	})
@@ -157,6 +158,7 @@
 		Depth:      int(hop.GetDepth()),
 		Budget:     rn.budget,
 		Repeat:     hop.GetRepeat(),
+		Siblings:   hop.GetSiblings(),
 	}
 	rn.token = fw.calls.Begin(rn.call)
 	out.Header.Set(gypsumhoist.HeaderCall, rn.token)
