--- a/forwarder/export_test.go
+++ b/forwarder/export_test.go
@@ -27,4 +27,6 @@
 func (pg *Progress) Learn(route string, calls int) { pg.learn(route, calls) }
 
 // Several reports whether a call is one of several.
-func (pg *Progress) Several(parent *authenticator.Call[*retrier.Budget]) bool { return pg.several(parent) }
+func (pg *Progress) Several(parent *authenticator.Call[*retrier.Budget]) bool {
+	return pg.several(parent)
+}
