--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -22,12 +22,11 @@
 		"The upstream announced another number of slots.")
 	eventLimit = logger.Define(1402, logger.LevelInfo, "limit_changed",
 		"The upstream may run another number of requests at a time; cause tells whether latency or its own refusals led to that.")
+	eventJoint = logger.Define(1403, logger.LevelInfo, "joint_refusal",
+		"The upstream can't serve all calls, and from now on refuses those of some requests at once and serves all of the others'; "+
+			"level tells which, and is zero when this is over.")
 )
 
-var eventJoint = logger.Define(1403, logger.LevelInfo, "joint_refusal",
-	"The upstream can't serve all calls, and from now on refuses those of some requests at once and serves all of the others'; "+
-		"level tells which, and is zero when this is over.")
-
 // limitPause is between two lines about the limit at least.
 const limitPause = 500 * time.Millisecond
 
@@ -206,7 +205,8 @@
 }
 
 func (ad *Admitter) logJoint() {
-	level, now := ad.core.joint.level, ad.now()
+	now := ad.now()
+	level := ad.core.joint.at(now)
 	if (level > 0) == (ad.loggedJoint > 0) || now-ad.jointAt < limitPause && ad.jointAt > 0 {
 		return
 	}
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -220,7 +220,7 @@
 		Limit:       co.limit.now(),
 		Slots:       co.limit.slots,
 		CutOff:      co.cutOff.value(now),
-		JointLevel:  float64(co.joint.level),
+		JointLevel:  float64(co.joint.at(now)),
 		ServiceTime: co.times.all.median,
 	}
 }
