gossiper: news of others goes to each neighbour once, a little at a time

Cause: each change was forwarded at once over all eight neighbours of the ring, from both ends of each link at the same moment, and by all three bridges to each watcher.

Change: news of others is pushed to those whom the instance probes, not back to who probes it; one of the bridges, by the watcher's place on the ring, pushes news of other domains; packets that only bring news leave 100 ms apart on a link. What is not pushed goes with the next packet as before, so that a lost push is made good within a second. The own record still goes to all at once.

--- a/gossiper/bounds.go
+++ b/gossiper/bounds.go
@@ -7,6 +7,8 @@
 	// ringProbeEvery is how often an instance probes each of its ring neighbours.
 	ringProbeEvery   = 1 * time.Second
 	ringProbeTimeout = 300 * time.Millisecond
+	// newsEvery is the least time between two packets to one neighbour that only bring news; what comes meanwhile goes together.
+	newsEvery = 100 * time.Millisecond
 	// bridgeProbeEvery is how often a bridge probes one bridge of each other domain.
 	bridgeProbeEvery   = 2 * time.Second
 	bridgeProbeTimeout = 1 * time.Second
--- a/gossiper/core.go
+++ b/gossiper/core.go
@@ -39,6 +39,8 @@
 	// rumorsStale asks for a new list of rumors.
 	rumorsStale bool
 	departing   bool
+	// rank is the place on the ring of the own domain, elected how many of it are bridges.
+	rank, elected int
 	// claimed is the highest incarnation that somebody else's report of this instance had;
 	// the instance goes beyond it from objectAt on.
 	claimed  uint64
--- a/gossiper/link.go
+++ b/gossiper/link.go
@@ -25,8 +25,8 @@
 type link struct {
 	to   *record
 	kind linkKind
-	// due is when the neighbour is probed next; digestDue, when all is compared next.
-	due, digestDue time.Time
+	// due is when the neighbour is probed next; digestDue, when all is compared next; pacedTo, until when news is collected.
+	due, digestDue, pacedTo time.Time
 	// urgent asks for a packet at once; busy tells that one is on its way; failing, that the last got no answer.
 	urgent, busy, failing bool
 	members               map[gypsumhoist.Instance]struct{}
@@ -104,8 +104,8 @@
 		}
 		cr.linksStale = false
 		ring := cr.ring()
-		rank := cr.electBridges(ring)
-		cr.keepLinks(cr.wantedLinks(ring, rank))
+		cr.rank, cr.elected = cr.electBridges(ring), min(bridges, len(ring))
+		cr.keepLinks(cr.wantedLinks(ring, cr.rank))
 	}
 }
 
@@ -201,7 +201,19 @@
 			continue
 		}
 		ln.members[in] = struct{}{}
-		ln.urgent = ln.urgent || urgent
+		ln.urgent = ln.urgent || urgent && (rec == cr.self || cr.hurries(ln))
+	}
+}
+
+// hurries tells whether news of others goes over a link at once. Where others bring it too, it waits for the next packet.
+func (cr *Core) hurries(ln *link) bool {
+	switch ln.kind {
+	case linkProbing:
+		return false
+	case linkClient:
+		return ln.to.order%uint64(cr.elected) == uint64(cr.rank)
+	default:
+		return true
 	}
 }
 
@@ -209,7 +221,7 @@
 func (cr *Core) flush() {
 	for _, in := range sortedKeys(cr.links) {
 		ln := cr.links[in]
-		if !ln.busy && (ln.urgent || ln.wanted() && !cr.now.Before(ln.due)) {
+		if !ln.busy && (ln.urgent && !cr.now.Before(ln.pacedTo) || ln.wanted() && !cr.now.Before(ln.due)) {
 			cr.send(ln)
 		}
 	}
@@ -229,6 +241,7 @@
 	ln.urgent = len(ln.members)+len(ln.rumors) > 0
 	ln.busy = true
 	ln.due = cr.now.Add(ln.every())
+	ln.pacedTo = cr.now.Add(newsEvery)
 	id := cr.newCall(call{kind: callLink, target: ln.to.member.Instance, link: ln})
 	cr.do(Exchange{ID: id, To: ln.to.member.Peer, Packet: pk, Timeout: ln.timeout()})
 }
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -125,7 +125,7 @@
 	}
 	if now.Boot != old.Boot || !slices.Equal(now.Watches, old.Watches) {
 		cr.owe(ln, cr.watchedBy(ln))
-		ln.urgent = true
+		ln.urgent = ln.urgent || cr.hurries(ln)
 	}
 }
 
