gossiper: neighbours and views are made anew less often in a large fleet

A change of a member of another failure domain can't change the neighbours of an instance that is no bridge: they are no longer chosen anew for it. A view costs as much as it has members, so that the least time between two grows with them: 100 ms up to 100 members, 200 ms at 200.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -30,9 +30,10 @@
 	// ringSize bounds the messages that wait for the core, callsMax the calls on their way.
 	ringSize = 1024
 	callsMax = 256
-	// viewPause is the least time between two views, hintViewPause where only hints have changed.
-	viewPause     = 100 * time.Millisecond
-	hintViewPause = time.Second
+	// viewPause is the least time between two views, viewPauseMember the least for each member in it, hintViewPause where only hints have changed.
+	viewPause       = 100 * time.Millisecond
+	viewPauseMember = time.Millisecond
+	hintViewPause   = time.Second
 	// spreadFor is how long news takes from the neighbours on to the whole fleet.
 	spreadFor = 300 * time.Millisecond
 	// partFor bounds the last words of an instance that stops.
--- a/gossiper/loop.go
+++ b/gossiper/loop.go
@@ -78,7 +78,7 @@
 func (gs *Gossiper) due() bool {
 	pause := hintViewPause
 	if gs.core.Urgent() {
-		pause = viewPause
+		pause = max(viewPause, time.Duration(len(gs.view.Load().members))*viewPauseMember)
 	}
 	return time.Since(gs.shown) >= pause
 }
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -102,7 +102,7 @@
 	if cr.interesting(&rec.member, true) || old != nil && cr.interesting(old, true) {
 		cr.outdate(urgent)
 	}
-	if urgent {
+	if urgent && (cr.self.member.Bridge || rec.member.Domain == cr.self.member.Domain || old != nil && old.Domain == cr.self.member.Domain) {
 		cr.linksStale = true
 	}
 	if old == nil || old.Status != rec.member.Status || old.Boot != rec.member.Boot {
