admitter: the fan-out test counts and draws under a lock

Its callers run side by side in a bubble, and shared a source of random numbers, counters and maps without one: 'fatal error: concurrent map writes' once in some ten runs. It can also play callers that do not see the load, upstreams of several speeds, further tries and rounds; the specs and bounds are as before.

--- a/admitter/fanout_test.go
+++ b/admitter/fanout_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,12 +24,17 @@
 	upstreams []*admitter.Admitter
 	random    *rand.Rand
 	takes     time.Duration // mean
-	calls     int           // of one request, in two rounds
+	calls     int           // of one request, in rounds
+	rounds    int
+	tries     int       // of one call, each at another upstream
+	speeds    []float64 // of the upstreams, in turns
+	blind     bool      // callers know how quick upstreams are, not how loaded
 	requests  int
 
 	// hot is the share of the requests that one workspace sends.
 	hot float64
 
+	mu            sync.Mutex // guards random, requests and the counts
 	asked, ended, ran, workspaces int
 	endedOf, askedOf              map[gypsumhoist.Workspace]int
 }
@@ -38,9 +46,9 @@
 )
 
 func newFanOut() *fanOut {
-	fo := &fanOut{random: rand.New(rand.NewPCG(4, 4)), takes: 58 * time.Millisecond, calls: 8, workspaces: 40}
+	fo := &fanOut{random: rand.New(rand.NewPCG(4, 4)), takes: 58 * time.Millisecond, calls: 8, rounds: 2, tries: 1, speeds: []float64{1}, workspaces: 40}
 	for range fanOutUpstreams {
-		ad := admitter.New(admitter.WithRandom(fo.random))
+		ad := admitter.New(admitter.WithRandom(rand.New(rand.NewPCG(4, fo.random.Uint64()))))
 		ad.SetSlots(fanOutSlots)
 		fo.upstreams = append(fo.upstreams, ad)
 	}
@@ -51,41 +59,74 @@
 	return fanOutUpstreams * fanOutSlots / fo.takes.Seconds() / float64(fo.calls)
 }
 
-// upstream returns the less loaded of two.
-func (fo *fanOut) upstream() *admitter.Admitter {
-	one, two := fo.upstreams[fo.random.IntN(len(fo.upstreams))], fo.upstreams[fo.random.IntN(len(fo.upstreams))]
-	if la, lb := one.Load(), two.Load(); lb.InFlight+lb.Waiting < la.InFlight+la.Waiting {
+// draw returns a random number from 0 to 1.
+func (fo *fanOut) draw() float64 {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.random.Float64()
+}
+
+// drawInt returns a random number below another.
+func (fo *fanOut) drawInt(below int) int { return int(fo.draw() * float64(below)) }
+
+// upstream returns the place of the less loaded of two, or for blind callers of any, the quicker the more often.
+func (fo *fanOut) upstream() int {
+	if fo.blind {
+		for {
+			at := fo.drawInt(len(fo.upstreams))
+			if fo.draw()*slices.Max(fo.speeds) < fo.speeds[at%len(fo.speeds)] {
+				return at
+			}
+		}
+	}
+	one, two := fo.drawInt(len(fo.upstreams)), fo.drawInt(len(fo.upstreams))
+	if la, lb := fo.upstreams[one].Load(), fo.upstreams[two].Load(); lb.InFlight+lb.Waiting < la.InFlight+la.Waiting {
 		return two
 	}
 	return one
 }
 
+// call makes one call, which goes on to another upstream where it is refused.
 func (fo *fanOut) call(ctx context.Context, id gypsumhoist.RequestID, ws gypsumhoist.Workspace) bool {
-	tk, err := fo.upstream().Admit(ctx, admitter.Ask{
+	for range fo.tries {
+		if fo.callOnce(ctx, id, ws) {
+			return true
+		}
+	}
+	return false
+}
+
+func (fo *fanOut) callOnce(ctx context.Context, id gypsumhoist.RequestID, ws gypsumhoist.Workspace) bool {
+	at := fo.upstream()
+	tk, err := fo.upstreams[at].Admit(ctx, admitter.Ask{
 		Workspace: ws, Route: "/names", Weight: 1, Importance: 50, Depth: 1, Precedence: admitter.PrecedenceOf(id), Siblings: true,
 		Deadline: time.Now().Add(700 * time.Millisecond), Patience: fanOutPatience,
 	})
 	if err != nil {
 		return false
 	}
+	fo.mu.Lock()
 	fo.ran++
-	time.Sleep(time.Duration((0.5 + fo.random.Float64()) * float64(fo.takes)))
+	fo.mu.Unlock()
+	time.Sleep(time.Duration((0.5 + fo.draw()) * float64(fo.takes) / fo.speeds[at%len(fo.speeds)]))
 	tk.Done(admitter.OutcomeAnswered)
 	return true
 }
 
 // try makes the calls of one request.
 func (fo *fanOut) try(ws gypsumhoist.Workspace) bool {
+	fo.mu.Lock()
 	fo.requests++
 	id := gypsumhoist.RequestID(fmt.Sprint("request-", fo.requests))
+	fo.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	for range 2 {
+	for range fo.rounds {
 		well := make(chan bool, fo.calls)
-		for range fo.calls / 2 {
+		for range fo.calls / fo.rounds {
 			go func() { well <- fo.call(ctx, id, ws) }()
 		}
-		for range fo.calls / 2 {
+		for range fo.calls / fo.rounds {
 			if !<-well {
 				return false
 			}
@@ -100,21 +141,23 @@
 	fo.askedOf, fo.endedOf = map[gypsumhoist.Workspace]int{}, map[gypsumhoist.Workspace]int{}
 	began := time.Now()
 	for time.Since(began) < span {
-		time.Sleep(time.Duration(fo.random.ExpFloat64() / rate * float64(time.Second)))
-		ws := gypsumhoist.Workspace(fmt.Sprint("w", fo.random.IntN(fo.workspaces)))
-		if fo.random.Float64() < fo.hot {
+		time.Sleep(time.Duration(-math.Log(1-fo.draw()) / rate * float64(time.Second)))
+		ws := gypsumhoist.Workspace(fmt.Sprint("w", fo.drawInt(fo.workspaces)))
+		if fo.draw() < fo.hot {
 			ws = "hot"
 		}
 		counts := time.Since(began) > span-counted
 		go func() {
 			well := fo.try(ws)
 			if !well {
-				time.Sleep(time.Duration(200+fo.random.IntN(300)) * time.Millisecond)
+				time.Sleep(time.Duration(200+fo.drawInt(300)) * time.Millisecond)
 				well = fo.try(ws)
 			}
 			if !counts {
 				return
 			}
+			fo.mu.Lock()
+			defer fo.mu.Unlock()
 			fo.asked++
 			fo.askedOf[ws]++
 			if well {
