admitter: the joint level falls as fast as calls find slots free

What callers saw: requests refused at upstreams of which a third of the slots were empty.

Cause: the level rises by up to a quarter of the arrivals in 100 ms and fell by 2 in 100, whether all calls of the window had found the slots taken or one had. Callers that don't see the load find one of 16 upstreams full at any time, so that the level stood on what was chance. Change: it also falls by 30 in 100 of the part of the arrivals that found a slot free.

--- a/admitter/fanout_test.go
+++ b/admitter/fanout_test.go
@@ -29,14 +29,17 @@
 	tries     int       // of one call, each at another upstream
 	speeds    []float64 // of the upstreams, in turns
 	blind     bool      // callers know how quick upstreams are, not how loaded
-	requests  int
+	// surge is how long at first the load is surgeTimes as high.
+	surge      time.Duration
+	surgeTimes float64
+	requests   int
 
 	// hot is the share of the requests that one workspace sends.
 	hot float64
 
-	mu            sync.Mutex // guards random, requests and the counts
-	asked, ended, ran, workspaces int
-	endedOf, askedOf              map[gypsumhoist.Workspace]int
+	mu                                     sync.Mutex // guards random, requests and the counts
+	asked, ended, ran, refused, workspaces int
+	endedOf, askedOf                       map[gypsumhoist.Workspace]int
 }
 
 const (
@@ -103,6 +106,9 @@
 		Deadline: time.Now().Add(700 * time.Millisecond), Patience: fanOutPatience,
 	})
 	if err != nil {
+		fo.mu.Lock()
+		defer fo.mu.Unlock()
+		fo.refused++
 		return false
 	}
 	fo.mu.Lock()
@@ -137,11 +143,15 @@
 
 // play lets requests arrive at random at a rate, and counts those of the last part of the time.
 func (fo *fanOut) play(rate float64, span, counted time.Duration) {
-	fo.asked, fo.ended, fo.ran = 0, 0, 0
+	fo.asked, fo.ended, fo.ran, fo.refused = 0, 0, 0, 0
 	fo.askedOf, fo.endedOf = map[gypsumhoist.Workspace]int{}, map[gypsumhoist.Workspace]int{}
 	began := time.Now()
 	for time.Since(began) < span {
-		time.Sleep(time.Duration(-math.Log(1-fo.draw()) / rate * float64(time.Second)))
+		now := rate
+		if time.Since(began) < fo.surge {
+			now *= fo.surgeTimes
+		}
+		time.Sleep(time.Duration(-math.Log(1-fo.draw()) / now * float64(time.Second)))
 		ws := gypsumhoist.Workspace(fmt.Sprint("w", fo.drawInt(fo.workspaces)))
 		if fo.draw() < fo.hot {
 			ws = "hot"
--- a/admitter/joint.go
+++ b/admitter/joint.go
@@ -12,7 +12,8 @@
 	jointGain    = 1.0                    // arrivals refused for each one that waited in vain
 	jointRiseMax = 0.25                   // share of the arrivals that one move refuses
 	jointOpen    = 0.02                   // share that is let in again after a window in which none waited in vain
-	jointOpenAll = 1.0                    // the same if slots were free all the time
+	jointOpenMid = 0.3                    // the same beside it, by the part of the arrivals that found a slot free
+	jointOpenAll = 1.0                    // the same if all of them did
 	jointIdle    = 20                     // windows without an arrival after which none is refused
 )
 
@@ -23,7 +24,8 @@
 	level standing
 	began time.Duration
 	shed  int // calls of the window that waited in vain
-	busy  bool
+	// arrived counts the calls of the window, busy those that found no slot free.
+	arrived, busy int
 	// asked and let count the arrivals of late by rank: all, and those above the level.
 	asked, let [ranks]float64
 	shares     shares
@@ -34,8 +36,9 @@
 	jt.turn(now)
 	rk := rankOf(rq.Importance, rq.Depth)
 	jt.asked[rk]++
+	jt.arrived++
 	if !free {
-		jt.busy = true
+		jt.busy++
 	}
 	excess := jt.shares.arrive(rq.Workspace, float64(clipWeight(rq.Weight)))
 	if jt.level > 0 && standingIn(rk, rq.Precedence, excess) < jt.level {
@@ -71,7 +74,7 @@
 	for range windows {
 		jt.fade()
 	}
-	jt.shed, jt.busy = 0, false
+	jt.shed, jt.arrived, jt.busy = 0, 0, 0
 }
 
 // move shifts the level by what the window has shown.
@@ -85,8 +88,9 @@
 	case jt.shed > 0:
 		jt.raise(math.Min(jointGain*float64(jt.shed), jointRiseMax*passing) / perWindow)
 	case jt.level == 0:
-	case jt.busy:
-		jt.lower(jointOpen * passing / perWindow)
+	case jt.busy > 0:
+		free := 1 - float64(jt.busy)/float64(jt.arrived)
+		jt.lower((jointOpen + jointOpenMid*free) * passing / perWindow)
 	default:
 		jt.lower(math.Max(jointOpenAll*passing, 1) / perWindow)
 	}
