connector: an answer that is ready does not wait for the rest of its request's body

What callers would see: a refusal held for as long as the body of its request takes to come, up to 10 s where it stalls. Cause: on a connection that goes on, net/http reads up to 256 KiB of the body before it sends the head of an answer. Evidence: early_answer_test.go, a body of 4 KiB of which 100 bytes come: the answer of a handler that does not read it left after 10 s. Change: such an answer says that the connection closes, which sends it at once; where the whole body had come, the connection goes on as before. Full duplex was tried and left: net/http then reads the connection from two sides once the body ends behind the answer, and breaks it.

--- /dev/null
+++ b/connector/early_answer_test.go
@@ -0,0 +1,74 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumhoist/gypsumhoist/connector"
+	"github.com/gypsumhoist/gypsumhoist/connector/emulator"
+)
+
+var _ = Describe("An answer that is ready before its request's body has come", func() {
+	const body = 4 << 10
+	answer := func(wr http.ResponseWriter, req *http.Request) {
+		if strings.HasPrefix(req.URL.Path, "/read") {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		_, _ = io.WriteString(wr, req.URL.Path)
+	}
+	for name, head := range map[string]string{
+		"of a known length":    fmt.Sprintf("POST /first HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", body),
+		"of an unknown length": "POST /first HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n",
+	} {
+		It("is not held back for a body "+name+" that comes later; the connection ends with it", bubble(func(g Gomega) {
+			nw := emulator.New()
+			sv := connector.NewServer(http.HandlerFunc(answer))
+			defer sv.Close()
+			ln, err := nw.Host(serverAddr, "d").Listen(serverPort)
+			g.Expect(err).NotTo(HaveOccurred())
+			go func() { _ = sv.Serve(ln) }()
+			cn, err := nw.Host(clientAddr, "d").Dial(context.Background(), serverPort)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer cn.Close()
+			rd := bufio.NewReader(cn)
+			_, _ = io.WriteString(cn, head+strings.Repeat("a", 100))
+			from := time.Now()
+			rsp, err := http.ReadResponse(rd, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			got, err := io.ReadAll(rsp.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(got)).To(Equal("/first"))
+			g.Expect(time.Since(from)).To(BeNumerically("<=", 10*time.Millisecond))
+			g.Expect(rsp.Close).To(BeTrue())
+		}))
+	}
+
+	It("leaves the connection open where the body had come", bubble(func(g Gomega) {
+		nw := emulator.New()
+		sv := connector.NewServer(http.HandlerFunc(answer))
+		defer sv.Close()
+		ln, err := nw.Host(serverAddr, "d").Listen(serverPort)
+		g.Expect(err).NotTo(HaveOccurred())
+		go func() { _ = sv.Serve(ln) }()
+		cn, err := nw.Host(clientAddr, "d").Dial(context.Background(), serverPort)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer cn.Close()
+		rd := bufio.NewReader(cn)
+		for _, head := range []string{"Content-Length: 3\r\n\r\none", "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n", "Content-Length: 0\r\n\r\n"} {
+			_, _ = io.WriteString(cn, "POST /read HTTP/1.1\r\nHost: a\r\n"+head)
+			rsp, err := http.ReadResponse(rd, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, rsp.Body)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(rsp.Close).To(BeFalse())
+		}
+	}))
+})
--- a/connector/stall.go
+++ b/connector/stall.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,15 +26,15 @@
 		req.ContentLength = 0
 	}
 	if req.Body != nil && req.Body != http.NoBody {
-		req = gu.guarded(wr, req)
+		wr, req = gu.guarded(wr, req)
 	}
 	gu.next.ServeHTTP(wr, req)
 }
 
-// guarded returns a copy of a request with its body guarded. The original keeps its body, by whose
+// guarded returns a copy of a request with its body guarded, and the writer of its answer. The original keeps its body, by whose
 // type net/http tells how much of it is left to read ahead of an answer. Of HTTP/1.1, that reading
 // is bounded by the deadline that stands until the body's end.
-func (gu *guard) guarded(wr http.ResponseWriter, req *http.Request) *http.Request {
+func (gu *guard) guarded(wr http.ResponseWriter, req *http.Request) (http.ResponseWriter, *http.Request) {
 	gb := &guardedBody{
 		ReadCloser: req.Body, control: http.NewResponseController(wr),
 		stall: gu.server.config.bodyStall, stands: req.ProtoMajor == 1,
@@ -44,7 +45,10 @@
 	}
 	out := req.WithContext(req.Context())
 	out.Body = gb
-	return out
+	if !gb.stands {
+		return wr, out
+	}
+	return &earlyWriter{ResponseWriter: wr, body: gb}, out
 }
 
 // guardedBody gives each read a deadline of its own. It takes the deadline away after the read or,
@@ -54,6 +58,8 @@
 	control *http.ResponseController
 	stall   time.Duration
 	stands  bool
+	// ended tells that the whole body has been read.
+	ended atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -61,6 +67,9 @@
 	// A writer that knows no deadlines leaves the body unbounded; net/http's own ones know them.
 	_ = gb.control.SetReadDeadline(time.Now().Add(gb.stall))
 	n, err := gb.ReadCloser.Read(buf)
+	if err == io.EOF {
+		gb.ended.Store(true)
+	}
 	if err == io.EOF || err == nil && !gb.stands {
 		_ = gb.control.SetReadDeadline(time.Time{})
 	}
