connector: who gives up passing a body on does not wait for the rest of it

What callers saw in the spec: a request with a body without end was answered 0.26 s after its deadline; with one that stalls it would be up to 10 s. Cause: the transport that passes a body on closes it once the request is over, and closing a body of net/http reads up to 256 KiB more. Change: closing it only ends its reads; the server reads on behind the answer, within its own bounds. forwarder/endless_test.go failed before (2.257 s for a deadline of 2 s).

--- a/connector/stall.go
+++ b/connector/stall.go
@@ -60,10 +60,22 @@
 	stands  bool
 	// ended tells that the whole body has been read.
 	ended atomic.Bool
+	// closed tells that nobody wants the rest.
+	closed atomic.Bool
+}
+
+// Close implements io.Closer. The rest of the body is read after the answer, by the server itself:
+// whoever passes the body on must not wait for it.
+func (gb *guardedBody) Close() error {
+	gb.closed.Store(true)
+	return nil
 }
 
 // Read implements io.Reader.
 func (gb *guardedBody) Read(buf []byte) (int, error) {
+	if gb.closed.Load() {
+		return 0, http.ErrBodyReadAfterClose
+	}
 	// A writer that knows no deadlines leaves the body unbounded; net/http's own ones know them.
 	_ = gb.control.SetReadDeadline(time.Now().Add(gb.stall))
 	n, err := gb.ReadCloser.Read(buf)
--- /dev/null
+++ b/forwarder/endless_test.go
@@ -0,0 +1,62 @@
+package forwarder_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/registrar"
+)
+
+// endlessBody gives a kilobyte each millisecond and never ends.
+type endlessBody struct{ gave atomic.Int64 }
+
+func (eb *endlessBody) Read(data []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	part := copy(data, bytes.Repeat([]byte("a"), 1<<10))
+	eb.gave.Add(int64(part))
+	return part, nil
+}
+
+var _ = Describe("A body without end from a caller", func() {
+	It("ends with its request's deadline, and the next caller is served", inFleet(func(fl *fleet) {
+		read := make(chan error, 1)
+		node := fl.add("slips-1", func(wr http.ResponseWriter, req *http.Request) {
+			_, err := io.Copy(io.Discard, req.Body)
+			if err != nil {
+				read <- err
+			}
+			wr.WriteHeader(http.StatusOK)
+		})
+		node.streams = true
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips", Importance: 50})
+		key := fl.grant("kingston")
+		eb := &endlessBody{}
+		req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/slips", node.addr, portCallers), eb)
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set(gypsumhoist.HeaderKey, key)
+		req.Header.Set(gypsumhoist.HeaderDeadline, "2000")
+		from := time.Now()
+		rs, _, err := fl.do(req)
+		Expect(time.Since(from)).To(BeNumerically("<=", 2100*time.Millisecond))
+		if err == nil {
+			Expect(rs.StatusCode).NotTo(Equal(http.StatusOK))
+			Expect(rs.Header.Get(gypsumhoist.HeaderVerdict)).To(Equal(gypsumhoist.VerdictMayHaveRun.String()))
+		}
+		Eventually(read).WithTimeout(time.Second).Should(Receive())
+		time.Sleep(time.Second)
+		gave := eb.gave.Load()
+		time.Sleep(time.Second)
+		Expect(eb.gave.Load()).To(Equal(gave), "the body is still read")
+		rs, _, err = fl.call(node, "POST", "/slips", "one", gypsumhoist.HeaderKey, key)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rs.StatusCode).To(Equal(http.StatusOK))
+	}))
+})
