--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -191,7 +191,7 @@
 // patienceParts is of how many parts of its target latency a call may spend one on waiting for its turn,
 // and patienceLeast how long it may wait at least.
 const (
-	patienceParts = 2
+	patienceParts = 4
 	patienceLeast = 40 * time.Millisecond
 )
 
