--- a/gossiper/rolling_test.go
+++ b/gossiper/rolling_test.go
@@ -69,4 +69,18 @@
 		wd.input(leaver, gossiper.Departing{})
 		Expect(wd.until(5*time.Second, func() bool { return wd.knownLeaving(leaver) })).To(BeNumerically("<=", time.Second))
 	})
+
+	It("leaves no instance of a fleet at rest that watches a service from learning of its leaving upstreams at once", func() {
+		wd := newWorld(1, 100, 5)
+		for _, pl := range wd.places {
+			wd.introduce(pl)
+		}
+		wd.advance(20 * time.Second)
+		for ix := range 5 {
+			leaver := wd.places[ix*7]
+			wd.input(leaver, gossiper.Departing{})
+			Expect(wd.until(5*time.Second, func() bool { return wd.knownLeaving(leaver) })).To(BeNumerically("<=", 300*time.Millisecond))
+			wd.advance(2 * time.Second)
+		}
+	})
 })
