router: the test of a wide fleet counts and draws under a lock

Goroutines of a bubble run side by side, not in turns as its comment said: the callers shared counters, a source of random numbers and the stations' queues without a lock.

--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,8 +18,8 @@
 )
 
 // station is an upstream behind its node: a few slots, and a short queue whose requests are refused once they have waited too long.
-// It is for one goroutine at a time, as all of a bubble run in turns.
 type station struct {
+	mu             *sync.Mutex // the fleet's
 	slots, running int
 	service        time.Duration // mean
 	waiting        []chan struct{}
@@ -28,44 +30,70 @@
 const patience = 75 * time.Millisecond
 
 func (st *station) load() *router.Load {
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	return &router.Load{InFlight: st.running + len(st.waiting), Limit: st.slots}
 }
 
-// run takes one request, and reports whether it was served.
-func (st *station) run(random *rand.Rand) bool {
-	if st.running == st.slots {
-		turn := make(chan struct{}, 1)
-		st.waiting = append(st.waiting, turn)
-		select {
-		case <-turn:
-		case <-time.After(patience):
-			at := slices.Index(st.waiting, turn)
-			if at >= 0 {
-				st.waiting = slices.Delete(st.waiting, at, at+1)
-				return false
-			}
-		}
-	} else {
+// run takes one request that needs a multiple of the mean time, and reports whether it was served.
+func (st *station) run(times float64) bool {
+	if !st.enter() {
+		return false
+	}
+	time.Sleep(time.Duration(times * float64(st.service)))
+	st.leave()
+	return true
+}
+
+// enter waits for a slot and reports whether it got one.
+func (st *station) enter() bool {
+	st.mu.Lock()
+	if st.running < st.slots {
 		st.running++
+		st.mu.Unlock()
+		return true
 	}
-	time.Sleep(time.Duration((0.5 + random.Float64()) * float64(st.service)))
-	st.served++
-	if len(st.waiting) > 0 {
-		st.waiting[0] <- struct{}{}
-		st.waiting = st.waiting[1:]
+	turn := make(chan struct{}, 1)
+	st.waiting = append(st.waiting, turn)
+	st.mu.Unlock()
+	select {
+	case <-turn:
 		return true
+	case <-time.After(patience):
 	}
-	st.running--
-	return true
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	at := slices.Index(st.waiting, turn)
+	if at < 0 {
+		// The turn came at the same moment.
+		return true
+	}
+	st.waiting = slices.Delete(st.waiting, at, at+1)
+	return false
+}
+
+// leave gives the slot to who waits longest, or frees it.
+func (st *station) leave() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.served++
+	if len(st.waiting) == 0 {
+		st.running--
+		return
+	}
+	st.waiting[0] <- struct{}{}
+	st.waiting = st.waiting[1:]
 }
 
 // wideFleet is many callers' nodes, each of which makes a small part of the calls to a service.
 type wideFleet struct {
 	callers  []*router.Router
 	stations map[gypsumhoist.Instance]*station
-	random   *rand.Rand
 	reroutes int
 
+	mu     sync.Mutex // guards random, the counts and all stations
+	random *rand.Rand
+
 	asked, ended, calls, refused int
 }
 
@@ -78,7 +106,7 @@
 		for _, up := range upstreams(dm, 3, 14) {
 			all = append(all, up)
 			speed := speeds[len(all)%len(speeds)]
-			wf.stations[up.Instance] = &station{slots: 14, service: time.Duration(float64(58*time.Millisecond) / speed)}
+			wf.stations[up.Instance] = &station{mu: &wf.mu, slots: 14, service: time.Duration(float64(58*time.Millisecond) / speed)}
 		}
 	}
 	for at := range callers {
@@ -101,9 +129,23 @@
 	return sum
 }
 
+// draw returns a random number from 0 to 1.
+func (wf *wideFleet) draw() float64 {
+	wf.mu.Lock()
+	defer wf.mu.Unlock()
+	return wf.random.Float64()
+}
+
+// count adds one to a count.
+func (wf *wideFleet) count(what *int) {
+	wf.mu.Lock()
+	defer wf.mu.Unlock()
+	*what++
+}
+
 // call makes one call of a request; a refused one goes on to another upstream a few times.
 func (wf *wideFleet) call(rt *router.Router) bool {
-	wf.calls++
+	wf.count(&wf.calls)
 	var tried []gypsumhoist.Instance
 	for range 1 + wf.reroutes {
 		pk, err := rt.Pick("orders", true, tried...)
@@ -114,7 +156,7 @@
 		st := wf.stations[pk.Upstream.Instance]
 		began := time.Now()
 		time.Sleep(time.Millisecond)
-		served := st.run(wf.random)
+		served := st.run(0.5 + wf.draw())
 		oc := router.Outcome{Latency: time.Since(began), Load: st.load()}
 		if !served {
 			oc.Result = router.ResultOverloaded
@@ -124,7 +166,7 @@
 			return true
 		}
 	}
-	wf.refused++
+	wf.count(&wf.refused)
 	return false
 }
 
@@ -132,9 +174,9 @@
 func (wf *wideFleet) play(rate float64, fanOut int, span time.Duration) {
 	wf.asked, wf.ended, wf.calls, wf.refused = 0, 0, 0, 0
 	for began := time.Now(); time.Since(began) < span; {
-		time.Sleep(time.Duration(wf.random.ExpFloat64() / rate * float64(time.Second)))
-		rt := wf.callers[wf.random.IntN(len(wf.callers))]
-		wf.asked++
+		time.Sleep(time.Duration(-math.Log(1-wf.draw()) / rate * float64(time.Second)))
+		rt := wf.callers[int(wf.draw()*float64(len(wf.callers)))]
+		wf.count(&wf.asked)
 		go func() {
 			for range 2 {
 				well := make(chan bool, fanOut)
@@ -147,7 +189,7 @@
 					}
 				}
 			}
-			wf.ended++
+			wf.count(&wf.ended)
 		}()
 	}
 	time.Sleep(5 * time.Second)
