--- a/connector/early_answer_test.go
+++ b/connector/early_answer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,9 +10,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"github.com/gypsumhoist/gypsumhoist/connector"
-	"github.com/gypsumhoist/gypsumhoist/connector/emulator"
 )
 
 var _ = Describe("An answer that is ready before its request's body has come", func() {
@@ -29,14 +25,9 @@
 		"of an unknown length": "POST /first HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n",
 	} {
 		It("is not held back for a body "+name+" that comes later; the connection ends with it", bubble(func(g Gomega) {
-			nw := emulator.New()
-			sv := connector.NewServer(http.HandlerFunc(answer))
-			defer sv.Close()
-			ln, err := nw.Host(serverAddr, "d").Listen(serverPort)
-			g.Expect(err).NotTo(HaveOccurred())
-			go func() { _ = sv.Serve(ln) }()
-			cn, err := nw.Host(clientAddr, "d").Dial(context.Background(), serverPort)
-			g.Expect(err).NotTo(HaveOccurred())
+			st := newSiteOf(g, answer)
+			defer st.server.Close()
+			cn := st.dial(g)
 			defer cn.Close()
 			rd := bufio.NewReader(cn)
 			_, _ = io.WriteString(cn, head+strings.Repeat("a", 100))
@@ -52,14 +43,9 @@
 	}
 
 	It("leaves the connection open where the body had come", bubble(func(g Gomega) {
-		nw := emulator.New()
-		sv := connector.NewServer(http.HandlerFunc(answer))
-		defer sv.Close()
-		ln, err := nw.Host(serverAddr, "d").Listen(serverPort)
-		g.Expect(err).NotTo(HaveOccurred())
-		go func() { _ = sv.Serve(ln) }()
-		cn, err := nw.Host(clientAddr, "d").Dial(context.Background(), serverPort)
-		g.Expect(err).NotTo(HaveOccurred())
+		st := newSiteOf(g, answer)
+		defer st.server.Close()
+		cn := st.dial(g)
 		defer cn.Close()
 		rd := bufio.NewReader(cn)
 		for _, head := range []string{"Content-Length: 3\r\n\r\none", "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n", "Content-Length: 0\r\n\r\n"} {
--- a/connector/endless_test.go
+++ b/connector/endless_test.go
@@ -134,10 +134,9 @@
 		It(name+" are cut off, and the next caller is served", bubble(func(g Gomega) {
 			st := newSite(g)
 			defer st.server.Close()
-			cn, err := st.client.Dial(context.Background(), serverPort)
-			g.Expect(err).NotTo(HaveOccurred())
+			cn := st.dial(g)
 			defer cn.Close()
-			_, err = io.WriteString(cn, "GET / HTTP/1.1\r\nHost: a\r\n")
+			_, err := io.WriteString(cn, "GET / HTTP/1.1\r\nHost: a\r\n")
 			go func() { _, _ = io.Copy(io.Discard, cn) }()
 			wrote := 0
 			for err == nil && wrote < 1<<20 {
--- a/connector/silence_test.go
+++ b/connector/silence_test.go
@@ -17,28 +17,41 @@
 	"github.com/gypsumhoist/gypsumhoist/connector/emulator"
 )
 
-// site is a server on an emulated network; its handler answers after the time that the query names.
+// site is a server on an emulated network.
 type site struct {
 	network *emulator.Network
 	client  *emulator.Host
 	server  *connector.Server
 }
 
+// newSite returns one whose handler answers after the time that the query names.
 func newSite(g Gomega, opts ...connector.Option) *site {
-	st := &site{network: emulator.New()}
-	st.client = st.network.Host(clientAddr, "d")
-	st.server = connector.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+	return newSiteOf(g, func(wr http.ResponseWriter, req *http.Request) {
 		_, _ = io.Copy(io.Discard, req.Body)
 		wait, _ := time.ParseDuration(req.URL.RawQuery)
 		time.Sleep(wait)
 		_, _ = io.WriteString(wr, "done")
-	}), opts...)
+	}, opts...)
+}
+
+// newSiteOf returns one with a handler.
+func newSiteOf(g Gomega, handler http.HandlerFunc, opts ...connector.Option) *site {
+	st := &site{network: emulator.New()}
+	st.client = st.network.Host(clientAddr, "d")
+	st.server = connector.NewServer(handler, opts...)
 	ln, err := st.network.Host(serverAddr, "d").Listen(serverPort)
 	g.Expect(err).NotTo(HaveOccurred())
 	go func() { _ = st.server.Serve(ln) }()
 	return st
 }
 
+// dial opens a connection to the server.
+func (st *site) dial(g Gomega) net.Conn {
+	cn, err := st.client.Dial(context.Background(), serverPort)
+	g.Expect(err).NotTo(HaveOccurred())
+	return cn
+}
+
 func (st *site) freeze() {
 	st.network.Freeze([]netip.Addr{clientAddr}, []netip.Addr{serverAddr})
 }
@@ -190,9 +203,8 @@
 	}))
 
 	It("ends a write that makes no progress", bubble(func(g Gomega) {
-		nw := emulator.New()
 		ended := make(chan time.Duration, 1)
-		sv := connector.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		st := newSiteOf(g, func(wr http.ResponseWriter, _ *http.Request) {
 			from := time.Now()
 			for {
 				if _, err := wr.Write(make([]byte, 64<<10)); err != nil {
@@ -200,13 +212,9 @@
 				}
 			}
 			ended <- time.Since(from)
-		}))
-		defer sv.Close()
-		ln, err := nw.Host(serverAddr, "d").Listen(serverPort)
-		g.Expect(err).NotTo(HaveOccurred())
-		go func() { _ = sv.Serve(ln) }()
-		cn, err := nw.Host(clientAddr, "d").Dial(context.Background(), serverPort)
-		g.Expect(err).NotTo(HaveOccurred())
+		})
+		defer st.server.Close()
+		cn := st.dial(g)
 		defer cn.Close()
 		_, _ = io.WriteString(cn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 		g.Expect(<-ended).To(BeNumerically("~", connector.DefaultWriteStall, time.Second))
@@ -216,8 +224,7 @@
 // trickle sends some bytes, no more, and returns after how long the server closes the connection.
 func (st *site) trickle(g Gomega, bytes string) time.Duration {
 	from := time.Now()
-	cn, err := st.client.Dial(context.Background(), serverPort)
-	g.Expect(err).NotTo(HaveOccurred())
+	cn := st.dial(g)
 	defer cn.Close()
 	_, _ = io.WriteString(cn, bytes)
 	_, _ = io.Copy(io.Discard, net.Conn(cn))
