--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -199,13 +199,13 @@
 			answer <- nt.Decision
 		}
 	}
-	ad.logShedding()
-	ad.logLimit()
-	ad.logJoint()
+	now := ad.now()
+	ad.logShedding(now)
+	ad.logLimit(now)
+	ad.logJoint(now)
 }
 
-func (ad *Admitter) logJoint() {
-	now := ad.now()
+func (ad *Admitter) logJoint(now time.Duration) {
 	level := ad.core.joint.at(now)
 	if (level > 0) == (ad.loggedJoint > 0) || now-ad.jointAt < limitPause && ad.jointAt > 0 {
 		return
@@ -215,8 +215,8 @@
 	ad.loggedJoint, ad.jointAt = level, now
 }
 
-func (ad *Admitter) logLimit() {
-	limit, now := ad.core.limit.now(), ad.now()
+func (ad *Admitter) logLimit(now time.Duration) {
+	limit := ad.core.limit.now()
 	if limit == ad.loggedLimit || now-ad.limitAt < limitPause && ad.limitAt > 0 {
 		return
 	}
@@ -225,11 +225,10 @@
 	ad.loggedLimit, ad.limitAt = limit, now
 }
 
-func (ad *Admitter) logShedding() {
+func (ad *Admitter) logShedding(now time.Duration) {
 	if ad.core.refusals.overload == ad.sheds {
 		return
 	}
-	now := ad.now()
 	if ad.sheds == 0 || now-ad.lastShed > sheddingQuiet {
 		ld := ad.core.Load(now)
 		ad.logger.Log(eventShedding, "cut_off", ld.CutOff, "limit", ld.Limit, "slots", ld.Slots, "waiting", ld.Waiting)
