router, admitter: what the wide fleet and the fan-out test counted is read behind their lock

They were after all callers' ends, but behind no lock. Now it names neither file (go test -race, ./router and the specs of several calls in ./admitter). It still names router/router_test.go, which is older: its spec of 3,000 calls draws without a lock. Specs and bounds are as before.

--- a/admitter/fanout_test.go
+++ b/admitter/fanout_test.go
@@ -49,7 +49,10 @@
 )
 
 func newFanOut() *fanOut {
-	fo := &fanOut{random: rand.New(rand.NewPCG(4, 4)), takes: 58 * time.Millisecond, calls: 8, rounds: 2, tries: 1, speeds: []float64{1}, workspaces: 40}
+	fo := &fanOut{
+		random: rand.New(rand.NewPCG(4, 4)), takes: 58 * time.Millisecond, calls: 8, rounds: 2, tries: 1, speeds: []float64{1}, workspaces: 40,
+		askedOf: map[gypsumhoist.Workspace]int{}, endedOf: map[gypsumhoist.Workspace]int{},
+	}
 	for range fanOutUpstreams {
 		ad := admitter.New(admitter.WithRandom(rand.New(rand.NewPCG(4, fo.random.Uint64()))))
 		ad.SetSlots(fanOutSlots)
@@ -141,10 +144,8 @@
 	return true
 }
 
-// play lets requests arrive at random at a rate, and counts those of the last part of the time.
+// play lets requests arrive at random at a rate, and counts those of the last part of the time. It is called once.
 func (fo *fanOut) play(rate float64, span, counted time.Duration) {
-	fo.asked, fo.ended, fo.ran, fo.refused = 0, 0, 0, 0
-	fo.askedOf, fo.endedOf = map[gypsumhoist.Workspace]int{}, map[gypsumhoist.Workspace]int{}
 	began := time.Now()
 	for time.Since(began) < span {
 		now := rate
@@ -177,6 +178,9 @@
 		}()
 	}
 	time.Sleep(3 * time.Second)
+	// All have ended; the counts may be read without the lock from here on.
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
 }
 
 var _ = Describe("requests of several calls to a service that can't serve all", func() {
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -94,9 +94,12 @@
 	mu     sync.Mutex // guards random, the counts and all stations
 	random *rand.Rand
 
-	asked, ended, calls, refused int
+	tally tally
 }
 
+// tally counts requests and the calls that they make.
+type tally struct{ asked, ended, calls, refused int }
+
 func newWideFleet(callers int) *wideFleet {
 	wf := &wideFleet{stations: map[gypsumhoist.Instance]*station{}, random: rand.New(rand.NewPCG(1, 2)), reroutes: 2}
 	domains := []gypsumhoist.FailureDomain{"a", "b", "c", "d", "e"}
@@ -145,7 +148,7 @@
 
 // call makes one call of a request; a refused one goes on to another upstream a few times.
 func (wf *wideFleet) call(rt *router.Router) bool {
-	wf.count(&wf.calls)
+	wf.count(&wf.tally.calls)
 	var tried []gypsumhoist.Instance
 	for range 1 + wf.reroutes {
 		pk, err := rt.Pick("orders", true, tried...)
@@ -166,17 +169,16 @@
 			return true
 		}
 	}
-	wf.count(&wf.refused)
+	wf.count(&wf.tally.refused)
 	return false
 }
 
-// play lets requests arrive at random at a rate, each with some calls, half of them at a time.
-func (wf *wideFleet) play(rate float64, fanOut int, span time.Duration) {
-	wf.asked, wf.ended, wf.calls, wf.refused = 0, 0, 0, 0
+// play lets requests arrive at random at a rate, each with some calls, half of them at a time, and counts them.
+func (wf *wideFleet) play(rate float64, fanOut int, span time.Duration) tally {
 	for began := time.Now(); time.Since(began) < span; {
 		time.Sleep(time.Duration(-math.Log(1-wf.draw()) / rate * float64(time.Second)))
 		rt := wf.callers[int(wf.draw()*float64(len(wf.callers)))]
-		wf.count(&wf.asked)
+		wf.count(&wf.tally.asked)
 		go func() {
 			for range 2 {
 				well := make(chan bool, fanOut)
@@ -189,10 +191,15 @@
 					}
 				}
 			}
-			wf.count(&wf.ended)
+			wf.count(&wf.tally.ended)
 		}()
 	}
 	time.Sleep(5 * time.Second)
+	wf.mu.Lock()
+	defer wf.mu.Unlock()
+	out := wf.tally
+	wf.tally = tally{}
+	return out
 }
 
 var _ = Describe("callers that each make a small part of the calls", func() {
@@ -202,10 +209,10 @@
 				g := NewWithT(t)
 				wf := newWideFleet(callers)
 				for _, load := range []float64{0.7, 0.85} {
-					wf.play(load*wf.capacity()/8, 8, 12*time.Second)
+					ta := wf.play(load*wf.capacity()/8, 8, 12*time.Second)
 					GinkgoWriter.Printf("%d callers, load %.2f: %d of %d requests end well, %d of %d calls refused\n",
-						callers, load, wf.ended, wf.asked, wf.refused, wf.calls)
-					g.Expect(float64(wf.ended)).To(BeNumerically(">", 0.97*float64(wf.asked)))
+						callers, load, ta.ended, ta.asked, ta.refused, ta.calls)
+					g.Expect(float64(ta.ended)).To(BeNumerically(">", 0.97*float64(ta.asked)))
 				}
 			})
 		})
