router: the specs' answers are drawn where the requests are sent

Goroutines of one spec shared its source of random numbers without a lock: the last place in this package that the race detector named.

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -57,8 +57,8 @@
 			continue
 		}
 		be.picked[pk.Upstream.Instance]++
+		oc := be.answer(pk.Upstream)
 		go func() {
-			oc := be.answer(pk.Upstream)
 			time.Sleep(oc.Latency)
 			pk.Done(oc)
 		}()
