retrier: decisions tell what the row's window held

What callers saw: nothing; operators could not tell why a retry was granted. Cause: the log line of a request says 'retry' without the state that the decision is based on, so that the hypotheses of the incident could not be told apart. Change: the step of a retry, and of one refused by the ratio, holds the first attempts and retries in the row's window.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -122,18 +122,26 @@
 func (fw *Forwarder) retry(key retrier.RowKey, cl *call, fl retrier.Failure) bool {
 	switch dec := fw.retrier.Decide(key, cl.row.RetryPercent, fl, cl.budget).(type) {
 	case retrier.GiveUp:
-		detail := ""
-		if dec.Cause == retrier.CauseOverload {
-			detail = fw.overloadDetail(cl)
-		}
-		cl.record.Note("retrier", "no retry: "+dec.Cause.String(), detail)
+		cl.record.Note("retrier", "no retry: "+dec.Cause.String(), fw.giveUpDetail(key, cl, dec.Cause))
 		return false
 	default:
-		cl.record.Note("retrier", "retry", "")
+		cl.record.Note("retrier", "retry", fw.retrier.Usage(key).String())
 		return true
 	}
 }
 
+// giveUpDetail returns the state on which a decision against a retry is based, if it is not only about the request.
+func (fw *Forwarder) giveUpDetail(key retrier.RowKey, cl *call, cause retrier.Cause) string {
+	switch cause {
+	case retrier.CauseOverload:
+		return fw.overloadDetail(cl)
+	case retrier.CauseRatio:
+		return fw.retrier.Usage(key).String()
+	default:
+		return ""
+	}
+}
+
 // withWorseVerdict returns the newer refusal with the worse verdict of both:
 // once an attempt may have run, no later attempt changes that.
 func withWorseVerdict(rf, earlier *gypsumhoist.Refusal) *gypsumhoist.Refusal {
--- /dev/null
+++ b/retrier/usage.go
@@ -0,0 +1,27 @@
+package retrier
+
+import (
+	"fmt"
+	"time"
+)
+
+// Usage is what the decisions on retries of a row are based on.
+type Usage struct {
+	// Firsts and Retries count the first attempts and the retries of the row in its window of 10 s.
+	Firsts, Retries int64
+}
+
+// String returns the usage as the detail of a decision.
+func (us Usage) String() string {
+	return fmt.Sprintf("row had %d first attempts and %d retries", us.Firsts, us.Retries)
+}
+
+// Usage returns the usage of a row now.
+func (re *Retrier) Usage(key RowKey) Usage {
+	now := time.Since(re.start)
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	ra := &re.row(key, now).ratio
+	ra.advance(now)
+	return Usage{Firsts: ra.total.first, Retries: ra.total.retries}
+}
