retrier: retries of a service are paid from credit that first attempts earn

Cause: the ratio of a row holds at one node. Change: each first attempt earns its row's percentage of a retry for its service at its node; retries, and calls of repeated runs, spend one. Credit begins empty, is shared by the rows of the service and expires after 2 s but for one retry. Scarce retries go to the highest rank of all rows of a service. Conclusion: the fleet spends at most what the requests of a window and 2 s before it earned, and one retry a node, whatever restarts; the bound needs no messages and no memory.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -19,8 +19,8 @@
 // or no further attempt is allowed. A server error of an upstream may be followed by another attempt;
 // it is the answer to the request if no further attempt gets one.
 func (fw *Forwarder) tryUpstreams(ctx context.Context, req *http.Request, cl *call) (*reply, *gypsumhoist.Refusal) {
-	key := retrier.RowKey{Workspace: cl.workspace, Route: cl.row.Route}
-	fw.retrier.CountFirst(key)
+	key := retrier.RowKey{Workspace: cl.workspace, Route: cl.row.Route, Service: cl.service}
+	fw.retrier.CountFirst(key, cl.row.RetryPercent)
 	if cl.parent != nil && cl.parent.Repeat {
 		fw.retrier.CountRepeat(key)
 	}
@@ -135,7 +135,7 @@
 	switch cause {
 	case retrier.CauseOverload:
 		return fw.overloadDetail(cl)
-	case retrier.CauseRatio:
+	case retrier.CauseRatio, retrier.CauseCredit:
 		return fw.retrier.Usage(key).String()
 	default:
 		return ""
--- a/retrier/decision.go
+++ b/retrier/decision.go
@@ -55,10 +55,11 @@
 	CauseDeadline                // the remaining time is too short for another attempt
 	CauseBudget                  // the budget of the request is spent
 	CauseRatio                   // the row has used up its share of retries
+	CauseCredit                  // the service's credit is spent or needed for requests of higher rank
 )
 
 var causeNames = [...]string{
-	"none", "final", "ran", "uncertain", "body", "overload", "no_upstream", "deadline", "budget", "ratio",
+	"none", "final", "ran", "uncertain", "body", "overload", "no_upstream", "deadline", "budget", "ratio", "credit",
 }
 
 // String returns the cause in snake case.
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -9,40 +9,44 @@
 	"github.com/gypsumhoist/gypsumhoist"
 )
 
-// RowKey identifies the row in whose ratio an attempt is counted.
+// RowKey identifies what an attempt is charged to: the ratio of its row, and the credit of the service that it goes to.
 type RowKey struct {
 	Workspace gypsumhoist.Workspace
 	Route     string
+	Service   gypsumhoist.Service
 }
 
-// Limits of the state kept per row.
+// row returns the key of the row alone.
+func (key RowKey) row() RowKey {
+	key.Service = ""
+	return key
+}
+
+// Limits of the state that is kept.
 const (
 	maxRows     = 4096            // rows with state of their own
-	idleTimeout = 2 * ratioWindow // time after which the state of an unused row may be dropped
+	maxServices = 1024            // services with state of their own
+	idleTimeout = 2 * ratioWindow // time after which unused state may be dropped
 )
 
-// Retrier decides on retries and keeps the ratios of all rows.
+// Retrier decides on retries and keeps the ratios of all rows and the credit of all services.
 // It is safe for concurrent use. The zero value is not usable; call New.
 type Retrier struct {
-	mu        sync.Mutex
-	start     time.Time
-	rows      map[RowKey]*rowState
-	lastSweep time.Duration
+	mu       sync.Mutex
+	start    time.Time
+	rows     table[RowKey, Ratio]
+	services table[gypsumhoist.Service, serviceState]
 
 	allowed *metrics.Counter
 	refused [len(causeNames)]*metrics.Counter
 }
 
-type rowState struct {
-	ratio      Ratio
+// serviceState is what the rows of a service share.
+type serviceState struct {
+	credit     Credit
 	candidates candidates
-	lastUsed   time.Duration
 }
 
-// spendPeriod is the time over which a row spreads the retries that its window still allows, so that the first failures of an
-// outage of several seconds don't use up all of them.
-const spendPeriod = 3 * time.Second
-
 // Option configures a Retrier.
 type Option func(*Retrier)
 
@@ -61,19 +65,20 @@
 
 // New returns a retrier without history.
 func New(opts ...Option) *Retrier {
-	re := &Retrier{start: time.Now(), rows: map[RowKey]*rowState{}}
+	re := &Retrier{start: time.Now(), rows: newTable[RowKey, Ratio](maxRows), services: newTable[gypsumhoist.Service, serviceState](maxServices)}
 	for _, opt := range opts {
 		opt(re)
 	}
 	return re
 }
 
-// CountFirst counts the first attempt of a request.
-func (re *Retrier) CountFirst(key RowKey) {
+// CountFirst counts the first attempt of a request of a row. Percent is the row's RetryPercent.
+func (re *Retrier) CountFirst(key RowKey, percent int) {
 	now := time.Since(re.start)
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	re.row(key, now).ratio.CountFirst(now)
+	re.rows.at(key.row(), now).CountFirst(now)
+	re.services.at(key.Service, now).credit.Earn(now, percent)
 }
 
 // CountRepeat counts, as a retry, the first attempt of a nested call that is made on behalf of a retry: without that retry, this
@@ -82,7 +87,8 @@
 	now := time.Since(re.start)
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	re.row(key, now).ratio.CountRetry(now)
+	re.rows.at(key.row(), now).CountRetry(now)
+	re.services.at(key.Service, now).credit.Spend(now)
 }
 
 // Decide decides whether a failed attempt of a row is retried, and draws one retry if so.
@@ -108,55 +114,30 @@
 	now := time.Since(re.start)
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	if !re.row(key, now).grant(now, percent, rk) {
+	if cause := re.grant(key, now, percent, rk); cause != CauseNone {
 		sh.Return(1)
-		return CauseRatio
+		return cause
 	}
 	return CauseNone
 }
 
-// grant counts a retry and reports true, unless the candidates of higher priority need all retries that the row may spend in
-// rankWindow.
-func (rs *rowState) grant(now time.Duration, percent int, rk Rank) bool {
+// grant counts a retry, unless the row has used up its share, or the service has no credit or candidates of higher priority need all
+// that it can pay for in rankWindow.
+func (re *Retrier) grant(key RowKey, now time.Duration, percent int, rk Rank) Cause {
+	sv := re.services.at(key.Service, now)
+	ra := re.rows.at(key.row(), now)
 	priority := rk.priority()
-	rs.candidates.add(now, priority)
-	left := rs.ratio.Left(now, percent)
-	quota := max(1, left*int64(rankWindow)/int64(spendPeriod))
-	if left <= 0 || int64(rs.candidates.outranking(priority)) >= quota {
-		return false
-	}
-	return rs.ratio.TryRetry(now, percent)
-}
-
-// row returns the state of a row. Beyond maxRows, all further rows share one state.
-func (re *Retrier) row(key RowKey, now time.Duration) *rowState {
-	rs, ok := re.rows[key]
-	if !ok {
-		re.sweep(now)
-		if len(re.rows) >= maxRows {
-			key = RowKey{}
-			rs = re.rows[key]
-		}
-	}
-	if rs == nil {
-		rs = &rowState{}
-		re.rows[key] = rs
-	}
-	rs.lastUsed = now
-	return rs
-}
-
-// sweep drops idle rows, at most once per ratioSlice.
-func (re *Retrier) sweep(now time.Duration) {
-	if len(re.rows) < maxRows || now-re.lastSweep < ratioSlice {
-		return
-	}
-	re.lastSweep = now
-	for key, rs := range re.rows {
-		if now-rs.lastUsed > idleTimeout {
-			delete(re.rows, key)
-		}
+	sv.candidates.add(now, priority)
+	payable := sv.credit.Retries(now)
+	switch {
+	case ra.Left(now, percent) <= 0:
+		return CauseRatio
+	case payable <= 0 || int64(sv.candidates.outranking(priority)) >= max(payable, sv.credit.PerSecond(now)):
+		return CauseCredit
 	}
+	ra.CountRetry(now)
+	sv.credit.Spend(now)
+	return CauseNone
 }
 
 func inc(ct *metrics.Counter) {
