--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -58,6 +58,8 @@
 	fw       *forwarder.Forwarder
 	rt       *router.Router
 	records  *explainer.Store
+	options  []forwarder.Option
+	pool     *connector.UpstreamPool
 	mu       sync.Mutex
 	received []received
 	handler  http.HandlerFunc
@@ -190,10 +192,6 @@
 	claims := claimer.New(claimer.WithGroup(fl))
 	claims.SetDomains([]gypsumhoist.FailureDomain{domain}, nil)
 	claims.Start()
-	admit := admitter.New()
-	admit.SetSlots(nodeSlots)
-	nd.rt = router.New(domain)
-	nd.records = explainer.New(100)
 	var th *throttler.Throttler
 	if fl.throttling {
 		th = throttler.New(mathrand.New(mathrand.NewPCG(1, uint64(len(fl.nodes)))))
@@ -202,19 +200,19 @@
 	if fl.logs != nil {
 		lg = logger.New(fl.logs, "instance", name)
 	}
-	nd.fw = forwarder.New(
-		forwarder.WithLogger(lg),
-		forwarder.WithThrottler(th),
-		forwarder.WithInstance(name), forwarder.WithHolder(fl.tables), forwarder.WithRouter(nd.rt),
-		forwarder.WithRetrier(retrier.New()), forwarder.WithAdmitter(admit, admitter.NewForecaster()),
+	nd.records = explainer.New(100)
+	nd.options = []forwarder.Option{
+		forwarder.WithLogger(lg), forwarder.WithThrottler(th),
+		forwarder.WithInstance(name), forwarder.WithHolder(fl.tables),
 		forwarder.WithClaimer(claims), forwarder.WithPeers(peers), forwarder.WithRecordStore(nd.records),
-	)
+	}
 	pool := connector.NewUpstreamPool(netip.AddrPortFrom(addr, portUpstream), connector.WithNetwork(nd.host))
 	pool.Start()
-	nd.fw.SetUpstream(netip.AddrPortFrom(addr, portUpstream), pool)
-	fl.serve(nd.host, addr, portCallers, nd.fw.Callers())
-	fl.serve(nd.host, addr, portOutbound, nd.fw.Outbound())
-	fl.serve(nd.host, addr, portPeers, nd.fw.Peer(http.NotFoundHandler()))
+	nd.pool = pool
+	fl.restart(nd)
+	fl.serve(nd.host, addr, portCallers, nd.present(func(fw *forwarder.Forwarder) http.Handler { return fw.Callers() }))
+	fl.serve(nd.host, addr, portOutbound, nd.present(func(fw *forwarder.Forwarder) http.Handler { return fw.Outbound() }))
+	fl.serve(nd.host, addr, portPeers, nd.present(func(fw *forwarder.Forwarder) http.Handler { return fw.Peer(http.NotFoundHandler()) }))
 	fl.serve(nd.host, addr, portUpstream, http.HandlerFunc(nd.upstream))
 	fl.closers = append(fl.closers, pool.Stop, peers.Close, claims.Stop)
 	fl.nodes = append(fl.nodes, nd)
@@ -222,6 +220,31 @@
 	return nd
 }
 
+// restart gives a node a forwarder without any memory, as after a restart of its process. Requests in flight end as before.
+func (fl *fleet) restart(nd *node) {
+	admit := admitter.New()
+	admit.SetSlots(nodeSlots)
+	rt := router.New(domain)
+	fw := forwarder.New(append([]forwarder.Option{
+		forwarder.WithRouter(rt), forwarder.WithRetrier(retrier.New()), forwarder.WithAdmitter(admit, admitter.NewForecaster()),
+	}, nd.options...)...)
+	fw.SetUpstream(netip.AddrPortFrom(nd.addr, portUpstream), nd.pool)
+	nd.mu.Lock()
+	nd.fw, nd.rt = fw, rt
+	nd.mu.Unlock()
+	fl.updateRouters()
+}
+
+// present returns a handler that passes each request to a handler of the node's present forwarder.
+func (nd *node) present(of func(*forwarder.Forwarder) http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		nd.mu.Lock()
+		fw := nd.fw
+		nd.mu.Unlock()
+		of(fw).ServeHTTP(wr, req)
+	})
+}
+
 // updateRouters sets the upstreams of all services in the routers of all nodes.
 func (fl *fleet) updateRouters() {
 	for _, nd := range fl.nodes {
--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -179,6 +179,7 @@
 		return rf
 	}
 	rn.rs = rs
+	fw.noteReports(up, rs.Header, rn.record)
 	rn.busy = overloadStatus(rs.StatusCode) && rn.ticket.UpstreamBusy()
 	rn.ticket.Answered()
 	return fw.checkAnswer(rn)
