admitter: upstreams get no more requests per second than they name in their answers

Cause: there was no such contract, and neither latency nor refusals, which the concurrency limit follows, changed. A bound in one process would also be forgotten by its restart. Change: the upstream's node, which all its requests pass, starts them at the rate (token bucket, empty at first; waiting requests by importance). Answers between nodes carry the limit, callers' nodes remember it for each upstream beyond views and restarts, and calls bring it along, so that a restarted node knows it with the first call that is owed it. Conclusion: the bound is kept where it can be exact, and memory of it is kept where it is owed.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -24,8 +24,26 @@
 	eventJoint = logger.Define(1403, logger.LevelInfo, "joint_refusal",
 		"The upstream can't serve all calls: it refuses those of the requests ranked below level on arrival, "+
 			"so that the others get all of theirs served; a level of zero tells that this has ended.")
+	eventRateLimit = logger.Define(1404, logger.LevelInfo, "rate_limit_changed",
+		"The upstream names another limit of requests per second in its answers, or none; source tells whether it said so itself "+
+			"or another node had heard it before.")
 )
 
+// RateLimitSource is where a node knows the rate limit of its upstream from.
+type RateLimitSource uint8
+
+// Sources.
+const (
+	RateLimitFromAnswer RateLimitSource = iota // an answer of the upstream
+	RateLimitFromPeer                          // another node that has heard of it from an earlier answer
+	RateLimitForgotten                         // the upstream was replaced
+)
+
+var rateLimitSourceNames = [...]string{"answer", "peer", "new_upstream"}
+
+// String returns the source in snake case.
+func (rs RateLimitSource) String() string { return rateLimitSourceNames[rs] }
+
 // limitLogInterval is the minimum time between two limit_changed events, and between two joint_refusal events.
 const limitLogInterval = 500 * time.Millisecond
 
@@ -52,7 +70,8 @@
 	// loggedJoint is the level of joint refusal that was last logged, at jointLoggedAt.
 	loggedJoint   priority
 	jointLoggedAt time.Duration
-	reclaimed     uint64 // slots reclaimed from overtaken requests
+	resume        *time.Timer // set while a waiting request is due under the rate limit
+	reclaimed     uint64      // slots reclaimed from overtaken requests
 }
 
 // Option sets one property of an Admitter.
@@ -94,6 +113,41 @@
 	}
 }
 
+// SetRateLimit sets the rate limit that the upstream names, in requests per second from all nodes together. One from a peer counts
+// only while nothing is known.
+func (ad *Admitter) SetRateLimit(limit gypsumhoist.RateLimit, source RateLimitSource) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	old := ad.core.pace.limit
+	if !ad.core.SetRateLimit(ad.now(), limit, source) {
+		ad.deliver()
+		return
+	}
+	if ad.resume != nil {
+		ad.resume.Stop()
+		ad.resume = nil
+	}
+	ad.deliver()
+	if limit = ad.core.pace.limit; old.Limited() || limit.Limited() {
+		ad.logger.Log(eventRateLimit, "before", old, "rate_limit", limit, "source", source, "waiting", ad.core.queue.len())
+	}
+}
+
+// scheduleResume arms the timer for the next waiting request that the rate limit holds back. It needs the mutex.
+func (ad *Admitter) scheduleResume(now time.Duration) {
+	at := ad.core.NextStart(now)
+	if at == 0 || ad.resume != nil {
+		return
+	}
+	ad.resume = time.AfterFunc(at-now, func() {
+		ad.mu.Lock()
+		defer ad.mu.Unlock()
+		ad.resume = nil
+		ad.core.Resume(ad.now())
+		ad.deliver()
+	})
+}
+
 // Load returns the current state, for answers to other nodes.
 func (ad *Admitter) Load() Load {
 	ad.mu.Lock()
@@ -199,6 +253,7 @@
 		}
 	}
 	now := ad.now()
+	ad.scheduleResume(now)
 	ad.logShedding(now)
 	ad.logLimit(now)
 	ad.logJoint(now)
--- a/admitter/api.go
+++ b/admitter/api.go
@@ -48,8 +48,10 @@
 type Load struct {
 	InFlight int // requests that hold a slot
 	Waiting  int // requests in the queue
-	Limit    int // requests that may hold a slot at a time: the concurrency limit
+	Limit    int // requests that can run at a time: the concurrency limit, or fewer by the rate limit
 	Slots    int // slots that the upstream announced
+	// RateLimit is how many requests per second the upstream takes from all nodes.
+	RateLimit gypsumhoist.RateLimit
 	// CutOff is the importance below which all fresh requests are currently refused.
 	CutOff gypsumhoist.Importance
 	// JointLevel is the level of joint refusal, below which calls with siblings are refused unless a slot is free. It is a rank
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -68,6 +68,7 @@
 // It is not safe for concurrent use. The zero value is not usable; call NewCore.
 type Core struct {
 	limit    limit
+	pace     pace
 	times    serviceTimes
 	cutOff   cutOff
 	joint    jointRefusal
@@ -109,7 +110,7 @@
 	if co.limit.slots == 0 {
 		return id, Refused{co.noUpstream()}
 	}
-	free := co.queue.len() == 0 && co.inFlight < co.limit.current()
+	free := co.queue.len() == 0 && co.mayStart(now)
 	if rq.Siblings && co.refusedJointly(now, rq, free) {
 		co.cutOff.refused(now, rk)
 		co.refusals.overload++
@@ -203,6 +204,33 @@
 	}
 }
 
+// SetRateLimit sets the rate limit that the upstream names, and reports whether it has changed. A limit from a peer counts only
+// while nothing is known.
+func (co *Core) SetRateLimit(now time.Duration, limit gypsumhoist.RateLimit, source RateLimitSource) bool {
+	changed := false
+	switch source {
+	case RateLimitFromAnswer:
+		changed = co.pace.named(now, limit)
+	case RateLimitFromPeer:
+		changed = !co.pace.limit.Known() && co.pace.set(now, limit)
+	case RateLimitForgotten:
+		changed = co.pace.set(now, gypsumhoist.RateLimit{})
+	}
+	co.dispatch(now)
+	return changed
+}
+
+// Resume starts waiting requests whose time has come under the rate limit.
+func (co *Core) Resume(now time.Duration) { co.dispatch(now) }
+
+// NextStart returns when Resume is due; zero if only the end of a request can start another one.
+func (co *Core) NextStart(now time.Duration) time.Duration {
+	if !co.pace.limit.Limited() || co.queue.len() == 0 || co.inFlight >= co.limit.current() {
+		return 0
+	}
+	return co.pace.next(now)
+}
+
 // Notices returns the decisions about waiting requests since the last call.
 // The slice is valid until the next call of any method.
 func (co *Core) Notices() []Notice {
@@ -216,8 +244,9 @@
 	return Load{
 		InFlight:    co.inFlight,
 		Waiting:     co.queue.len(),
-		Limit:       co.limit.current(),
+		Limit:       co.concurrency(),
 		Slots:       co.limit.slots,
+		RateLimit:   co.pace.limit,
 		CutOff:      co.cutOff.value(now),
 		JointLevel:  float64(co.joint.levelAt(now)),
 		ServiceTime: co.times.all.median,
--- a/admitter/metrics.go
+++ b/admitter/metrics.go
@@ -12,6 +12,7 @@
 	ad.gauge("gypsumhoist_admitter_cut_off_importance", func(ld Load) float64 { return float64(ld.CutOff) })
 	ad.gauge("gypsumhoist_admitter_joint_level_rank", func(ld Load) float64 { return ld.JointLevel })
 	ad.gauge("gypsumhoist_admitter_service_time_seconds", func(ld Load) float64 { return ld.ServiceTime.Seconds() })
+	ad.gauge("gypsumhoist_admitter_rate_limit_per_second", func(ld Load) float64 { return ld.RateLimit.PerSecond() })
 	ad.counter("gypsumhoist_admitter_shed_requests_total", func(rc refusalCount) uint64 { return rc.overload })
 	ad.counter("gypsumhoist_admitter_joint_requests_total", func(rc refusalCount) uint64 { return rc.joint })
 	ad.counter("gypsumhoist_admitter_evicted_requests_total", func(rc refusalCount) uint64 { return rc.evicted })
--- /dev/null
+++ b/admitter/pace.go
@@ -0,0 +1,94 @@
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"github.com/gypsumhoist/gypsumhoist"
+)
+
+const (
+	// paceMin in requests per second is kept up under lower limits: only answers tell when a limit ends.
+	paceMin = 0.5
+	// paceBurst is the time whose requests may be started at once.
+	paceBurst = 250 * time.Millisecond
+	// paceLiftAnswers is how many answers in a row must name no limit to lift one, as a faulty answer may lack it.
+	paceLiftAnswers = 3
+)
+
+// pace starts no more requests per second than the upstream takes from all nodes. As all requests to the upstream pass this node,
+// the bound holds for the fleet. It is a token bucket that begins empty.
+type pace struct {
+	limit  gypsumhoist.RateLimit
+	tokens float64
+	at     time.Duration // time of tokens
+	// unnamed counts the answers in a row that named no limit.
+	unnamed int
+}
+
+// named applies the limit that an answer of the upstream names, and reports whether the limit has changed.
+func (pc *pace) named(now time.Duration, limit gypsumhoist.RateLimit) bool {
+	if pc.limit.Limited() && !limit.Limited() {
+		pc.unnamed++
+		if pc.unnamed < paceLiftAnswers {
+			return false
+		}
+	}
+	pc.unnamed = 0
+	return pc.set(now, limit)
+}
+
+// set changes the limit and reports whether it differs from the previous one.
+func (pc *pace) set(now time.Duration, limit gypsumhoist.RateLimit) bool {
+	if limit == pc.limit {
+		return false
+	}
+	if pc.limit.Limited() {
+		pc.refill(now)
+	} else {
+		pc.tokens, pc.at = 0, now
+	}
+	pc.limit = limit
+	pc.tokens = min(pc.tokens, pc.burst())
+	return true
+}
+
+func (pc *pace) perSecond() float64 { return max(pc.limit.PerSecond(), paceMin) }
+
+func (pc *pace) burst() float64 { return max(1, pc.perSecond()*paceBurst.Seconds()) }
+
+func (pc *pace) refill(now time.Duration) {
+	if now > pc.at {
+		pc.tokens = min(pc.burst(), pc.tokens+pc.perSecond()*(now-pc.at).Seconds())
+		pc.at = now
+	}
+}
+
+// next returns when the next request may be started, now at the earliest.
+func (pc *pace) next(now time.Duration) time.Duration {
+	if !pc.limit.Limited() {
+		return now
+	}
+	pc.refill(now)
+	if pc.tokens >= 1 {
+		return now
+	}
+	// Rounded up, so that the token is whole by then.
+	return now + time.Duration(math.Ceil((1-pc.tokens)/pc.perSecond()*float64(time.Second))) + time.Microsecond
+}
+
+// start counts a request that is started.
+func (pc *pace) start(now time.Duration) {
+	if pc.limit.Limited() {
+		pc.refill(now)
+		pc.tokens--
+	}
+}
+
+// concurrency returns how many requests run at the pace if each takes a service time, one at least; most if there is no limit.
+func (pc *pace) concurrency(most int, serviceTime time.Duration) int {
+	if !pc.limit.Limited() || serviceTime == 0 {
+		return most
+	}
+	return max(1, min(most, int(math.Ceil(pc.perSecond()*serviceTime.Seconds()))))
+}
--- a/admitter/shed.go
+++ b/admitter/shed.go
@@ -9,13 +9,24 @@
 
 func (co *Core) start(now time.Duration, rk rank) {
 	co.inFlight++
+	co.pace.start(now)
 	co.cutOff.admitted(now, rk)
 }
 
+// mayStart reports whether another request may be started, by the slots and by the rate limit.
+func (co *Core) mayStart(now time.Duration) bool {
+	return co.inFlight < co.limit.current() && co.pace.next(now) <= now
+}
+
+// concurrency returns how many requests can run at a time, by the slots and by the rate limit.
+func (co *Core) concurrency() int {
+	return co.pace.concurrency(co.limit.current(), co.times.all.median)
+}
+
 // dispatch starts waiting requests while there are free slots, the most important first.
 func (co *Core) dispatch(now time.Duration) {
 	co.sweep(now)
-	for co.inFlight < co.limit.current() {
+	for co.mayStart(now) {
 		cl := co.queue.highest()
 		if cl == nil {
 			return
@@ -65,8 +76,8 @@
 // shed removes a waiting request for lack of capacity. It must be of the lowest rank in the queue.
 func (co *Core) shed(now time.Duration, wt *waiter) *gypsumhoist.Refusal {
 	rk := wt.flow.class.rank
-	detail := fmt.Sprintf("the upstream is at its limit and the queue holds more important work; waited %v, %d of %d running, %d slots, %d waiting",
-		(now - wt.arrived).Round(time.Millisecond), co.inFlight, co.limit.current(), co.limit.slots, co.queue.len())
+	detail := fmt.Sprintf("the upstream is at its limit and the queue holds more important work; waited %v, %d of %d running, %d slots, %d waiting, rate limit %v",
+		(now - wt.arrived).Round(time.Millisecond), co.inFlight, co.limit.current(), co.limit.slots, co.queue.len(), co.pace.limit)
 	co.queue.remove(wt)
 	co.cutOff.refused(now, rk)
 	if wt.siblings {
@@ -114,7 +125,7 @@
 	if ahead == 0 {
 		return 0
 	}
-	return co.times.all.low * time.Duration(ahead) / time.Duration(co.limit.current())
+	return co.times.all.low * time.Duration(ahead) / time.Duration(max(co.concurrency(), 1))
 }
 
 // maxWait returns how long a request may wait while it is among the least important: at least until the next turn
@@ -130,7 +141,7 @@
 // turnInterval returns the time between two turns of a workspace while all waiting workspaces get their shares.
 func (co *Core) turnInterval(fl *flow) time.Duration {
 	shares := fl.class.totalWeight / fl.weight
-	return time.Duration(shares * float64(co.times.all.median) / float64(max(co.limit.current(), 1)))
+	return time.Duration(shares * float64(co.times.all.median) / float64(max(co.concurrency(), 1)))
 }
 
 func (co *Core) waitLimit() time.Duration {
@@ -144,7 +155,7 @@
 	if co.times.all.median == 0 {
 		return most
 	}
-	inTime := int(queueDrainMax * time.Duration(co.limit.current()) / co.times.all.median)
+	inTime := int(queueDrainMax * time.Duration(co.concurrency()) / co.times.all.median)
 	return min(most, max(inTime, co.limit.slots))
 }
 
@@ -163,7 +174,7 @@
 		return false
 	}
 	target := max(queueDelayTarget, co.times.all.median)
-	drain := co.times.all.median * time.Duration(co.queue.len()) / time.Duration(max(co.limit.current(), 1))
+	drain := co.times.all.median * time.Duration(co.queue.len()) / time.Duration(max(co.concurrency(), 1))
 	return drain > target && now-co.queue.nonEmptySince > target
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -193,6 +193,8 @@
 		Idempotent: cl.idempotent,
 		Attempt:    no,
 		PatienceUs: queueTimeout(cl.row).Microseconds(),
+
+		RateLimitMilli: pk.RateLimit.Milli(),
 	}
 }
 
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -30,6 +30,7 @@
 	ctx, cancel := context.WithDeadline(ctx, at.cl.deadline)
 	rn, rf := at.fw.runLocally(ctx, at.hop, out.WithContext(ctx))
 	at.headLatency = time.Since(at.started)
+	at.pick.Report(reportOf(at.fw.feedback(at.hop, 0)))
 	if rf != nil {
 		cancel()
 		at.refused(rf, at.fw.feedback(at.hop, 0))
@@ -66,6 +67,7 @@
 	if rf != nil {
 		return nil, rf
 	}
+	at.pick.Report(reportOf(fb))
 	if fb.GetRefused() {
 		// The body of a refusal is not needed; closing only frees the connection.
 		_ = rs.Body.Close()
@@ -150,7 +152,14 @@
 	if fb.GetLimit() == 0 {
 		return nil
 	}
-	return &router.Load{InFlight: int(fb.GetInFlight()), Limit: int(fb.GetLimit())}
+	return &router.Load{
+		InFlight: int(fb.GetInFlight()), Limit: int(fb.GetLimit()), RateLimited: gypsumhoist.RateLimitOfMilli(fb.RateLimitMilli).Limited(),
+	}
+}
+
+// reportOf returns what a feedback says about the upstream itself.
+func reportOf(fb *forwarderpb.Feedback) router.Report {
+	return router.Report{RateLimit: gypsumhoist.RateLimitOfMilli(fb.RateLimitMilli)}
 }
 
 // lastFeedback returns the feedback in the trailer of an answer, or else the one in its header,
--- a/router/api.go
+++ b/router/api.go
@@ -42,6 +42,8 @@
 type Load struct {
 	InFlight int // running and waiting requests
 	Limit    int // concurrency limit; zero if unknown
+	// RateLimited reports that Limit follows from a rate limit that the upstream names.
+	RateLimited bool
 }
 
 // Result classifies the end of an attempt by what it says about the health of the upstream.
--- a/router/group.go
+++ b/router/group.go
@@ -26,6 +26,7 @@
 	random       *rand.Rand
 	delays       map[gypsumhoist.FailureDomain]time.Duration
 	members      map[gypsumhoist.Instance]*member
+	beliefs      map[gypsumhoist.Instance]belief
 	sorted       []*member // all members by instance, including draining ones
 	reachability prober.Reachability
 	tiers        []tier
@@ -52,6 +53,7 @@
 		random:  random,
 		delays:  map[gypsumhoist.FailureDomain]time.Duration{},
 		members: map[gypsumhoist.Instance]*member{},
+		beliefs: map[gypsumhoist.Instance]belief{},
 	}
 }
 
--- a/router/member.go
+++ b/router/member.go
@@ -147,7 +147,8 @@
 	others := float64(ld.InFlight - mb.inFlight)
 	mb.reportedOthers = max(0, min(others, maxReportedLoad*mb.slots))
 	mb.reportedLimit = max(0, min(float64(ld.Limit), mb.slots))
-	if mb.reportedLimit > 0 {
+	// A rate limit is the upstream's own word, not an estimate that lags.
+	if mb.reportedLimit > 0 && !ld.RateLimited {
 		mb.reportedLimit = max(mb.reportedLimit, minReportedLimit*mb.slots)
 	}
 	mb.reportedAt = now
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,8 @@
 		"Attempts at the upstream fail; until two probes in a row are answered, this node sends it only probes.")
 	eventReturned = logger.Define(1501, logger.LevelInfo, "upstream_returned",
 		"Probes of an ejected upstream were answered; it gets requests again, few at first (slow start).")
+	eventRateLimit = logger.Define(1502, logger.LevelInfo, "rate_limit_heard",
+		"An answer of an upstream names another limit of requests per second, or none; this node tells it to the upstream's node if that restarts.")
 )
 
 // Router picks upstreams for all services known to this node. It is safe for concurrent use.
@@ -165,8 +167,10 @@
 	sv.mu.Lock()
 	ch := sv.group.pick(now, idempotent, exclude)
 	var up Upstream
+	var limit gypsumhoist.RateLimit
 	if ch.member != nil {
 		up = ch.member.upstream
+		limit = sv.group.beliefs[up.Instance].rateLimit
 	}
 	sv.mu.Unlock()
 	if ch.member == nil {
@@ -177,7 +181,7 @@
 	if ch.probe {
 		rt.probes.Inc()
 	}
-	return Pick{Upstream: up, Probe: ch.probe, router: rt, service: sv, choice: ch}, nil
+	return Pick{Upstream: up, RateLimit: limit, Probe: ch.probe, router: rt, service: sv, choice: ch}, nil
 }
 
 // PickAmong chooses the upstream of the lowest cost among the given ones, for another attempt at one that was tried before.
@@ -191,8 +195,10 @@
 	sv.mu.Lock()
 	mb := sv.group.pickAmong(rt.now(), among)
 	var up Upstream
+	var limit gypsumhoist.RateLimit
 	if mb != nil {
 		up = mb.upstream
+		limit = sv.group.beliefs[up.Instance].rateLimit
 	}
 	sv.mu.Unlock()
 	if mb == nil {
@@ -200,12 +206,14 @@
 		return Pick{}, errNoUpstream
 	}
 	rt.picks.Inc()
-	return Pick{Upstream: up, router: rt, service: sv, choice: choice{member: mb}}, nil
+	return Pick{Upstream: up, RateLimit: limit, router: rt, service: sv, choice: choice{member: mb}}, nil
 }
 
 // Pick is one attempt at an upstream. It is not safe for concurrent use.
 type Pick struct {
 	Upstream Upstream
+	// RateLimit is the last limit of the upstream that this node heard of.
+	RateLimit gypsumhoist.RateLimit
 	// Probe reports whether the upstream is ejected and the attempt checks if it has recovered.
 	Probe bool
 
@@ -214,6 +222,19 @@
 	choice  choice
 }
 
+// Report records what the answer to the attempt says about its upstream. It has no effect after Done.
+func (pk *Pick) Report(rp Report) {
+	if pk.service == nil {
+		return
+	}
+	pk.service.mu.Lock()
+	changed := pk.service.group.report(pk.Upstream.Instance, rp)
+	pk.service.mu.Unlock()
+	if changed {
+		pk.router.logger.Log(eventRateLimit, "upstream", pk.Upstream.Instance, "before", pk.RateLimit, "rate_limit", rp.RateLimit)
+	}
+}
+
 // Done ends the attempt and records its outcome. Calls after the first do nothing.
 func (pk *Pick) Done(oc Outcome) {
 	if pk.service == nil {
--- a/server/node.go
+++ b/server/node.go
@@ -168,6 +168,7 @@
 		nd.pool.Stop()
 		nd.pool = nil
 	}
+	nd.admitter.SetRateLimit(gypsumhoist.RateLimit{}, admitter.RateLimitForgotten)
 	if an.Service == "" {
 		nd.forwarder.SetUpstream(netip.AddrPort{}, nil)
 		return
