router: an upstream that says in its answers that it drains gets no new requests

Cause: only heartbeats and deregistrations made an upstream draining, and a restart of its node forgot them until the next one. The upstream's node refuses further requests and announces the upstream as draining. Answers between nodes name the process that drains, by its start; each node that hears of it leaves that process out of its choices for good, before it passes the answer on. An absent field means that nothing was said. Evidence: 'an upstream that says in its answers that it drains gets no new request from any node that has passed that on, though its own node restarts and announces it as ready' fails without the callers' belief (the fields did not exist before). Conclusion: kept at each node for itself, so that cuts and restarts of other nodes do not matter.

--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -94,7 +94,7 @@
 	pool := connector.NewUpstreamPool(up)
 	pool.Start()
 	tb.Cleanup(pool.Stop)
-	bn.other.SetUpstream(up, pool)
+	bn.other.SetUpstream(up, time.Time{}, pool)
 	bn.setPeer(listen(tb, bn.other.Peer(http.NotFoundHandler())))
 	return bn, listen(tb, bn.entry.Callers()), up
 }
@@ -192,7 +192,7 @@
 	other = bn.other.Peer(http.NotFoundHandler())
 	addr := netip.MustParseAddrPort("10.0.0.2:7402")
 	bn.setPeer(addr)
-	bn.other.SetUpstream(addr, inProcess{http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) { _, _ = wr.Write(benchAnswer) })})
+	bn.other.SetUpstream(addr, time.Time{}, inProcess{http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) { _, _ = wr.Write(benchAnswer) })})
 	entry := bn.entry.Callers()
 	req := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/slips/7", nil)
 	b.ReportAllocs()
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -159,7 +159,9 @@
 
 // reportOf returns what a feedback says about the upstream itself.
 func reportOf(fb *forwarderpb.Feedback) router.Report {
-	return router.Report{RateLimit: gypsumhoist.RateLimitOfMilli(fb.RateLimitMilli)}
+	return router.Report{
+		RateLimit: gypsumhoist.RateLimitOfMilli(fb.RateLimitMilli), Draining: fb.DrainingProcess != nil, Process: fb.GetDrainingProcess(),
+	}
 }
 
 // lastFeedback returns the feedback in the trailer of an answer, or else the one in its header,
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -60,6 +60,7 @@
 	records  *explainer.Store
 	options  []forwarder.Option
 	pool     *connector.UpstreamPool
+	started  time.Time // of the upstream's process
 	mu       sync.Mutex
 	received []received
 	handler  http.HandlerFunc
@@ -187,7 +188,7 @@
 // add starts a node with an upstream; the part of its name before the dash is its service.
 func (fl *fleet) add(name gypsumhoist.Instance, handler http.HandlerFunc) *node {
 	addr := netip.AddrFrom4([4]byte{10, 0, 0, byte(len(fl.nodes) + 1)})
-	nd := &node{name: name, addr: addr, host: fl.network.Host(addr, domain), handler: handler}
+	nd := &node{name: name, addr: addr, host: fl.network.Host(addr, domain), handler: handler, started: time.Now()}
 	peers := connector.NewPeerPool(connector.WithNetwork(nd.host))
 	claims := claimer.New(claimer.WithGroup(fl))
 	claims.SetDomains([]gypsumhoist.FailureDomain{domain}, nil)
@@ -228,7 +229,7 @@
 	fw := forwarder.New(append([]forwarder.Option{
 		forwarder.WithRouter(rt), forwarder.WithRetrier(retrier.New()), forwarder.WithAdmitter(admit, admitter.NewForecaster()),
 	}, nd.options...)...)
-	fw.SetUpstream(netip.AddrPortFrom(nd.addr, portUpstream), nd.pool)
+	fw.SetUpstream(netip.AddrPortFrom(nd.addr, portUpstream), nd.started, nd.pool)
 	nd.mu.Lock()
 	nd.fw, nd.rt = fw, rt
 	nd.mu.Unlock()
@@ -260,6 +261,7 @@
 		if nd.service() == sv {
 			ups = append(ups, router.Upstream{
 				Instance: nd.name, Domain: domain, Peer: netip.AddrPortFrom(nd.addr, portPeers), Slots: 20,
+				Process: nd.started.UnixMilli(),
 			})
 		}
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -64,6 +64,7 @@
 	claimer        Claimer
 	quarantine     *quarantiner.Quarantiner
 	onBroken       func(ctx context.Context)
+	onDraining     func(Upstream)
 	peers          connector.Peers
 	records        *explainer.Store
 	logger         *logger.Logger
@@ -85,7 +86,9 @@
 
 type upstreamSlot struct {
 	addr      netip.AddrPort
+	started   time.Time
 	transport Upstream
+	draining  atomic.Bool // an answer said that the upstream drains
 }
 
 // Observation is the outcome of one request of a caller, for service-level reports.
@@ -137,6 +140,9 @@
 	return func(fw *Forwarder) { fw.onBroken = fn }
 }
 
+// WithDrainingNotice sets a function that is called with an upstream when the first of its answers says that it drains.
+func WithDrainingNotice(fn func(Upstream)) Option { return func(fw *Forwarder) { fw.onDraining = fn } }
+
 // WithPeers sets the connections to other nodes.
 func WithPeers(pe connector.Peers) Option { return func(fw *Forwarder) { fw.peers = pe } }
 
@@ -200,7 +206,9 @@
 		bodyBytes: DefaultBodyBytes,
 		firstByte: DefaultFirstByte,
 		onBroken:  func(context.Context) {},
-		identify:  func(*http.Request) gypsumhoist.RequestID { return newRequestID() },
+
+		onDraining: func(Upstream) {},
+		identify:   func(*http.Request) gypsumhoist.RequestID { return newRequestID() },
 	}
 	for _, opt := range opts {
 		opt(fw)
@@ -208,14 +216,14 @@
 	return fw
 }
 
-// SetUpstream sets the upstream of this node; nil removes it.
-// Requests in flight go on.
-func (fw *Forwarder) SetUpstream(addr netip.AddrPort, up Upstream) {
+// SetUpstream sets the upstream of this node and when its process started, the zero time if that is not known; a nil upstream
+// removes it. Requests in flight go on.
+func (fw *Forwarder) SetUpstream(addr netip.AddrPort, started time.Time, up Upstream) {
 	if up == nil {
 		fw.upstream.Store(nil)
 		return
 	}
-	fw.upstream.Store(&upstreamSlot{addr: addr, transport: up})
+	fw.upstream.Store(&upstreamSlot{addr: addr, started: started, transport: up})
 }
 
 // SetLeaving sets whether the upstream is leaving and gets no new requests; those in flight go on.
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -83,7 +83,7 @@
 	return &forwarderpb.Feedback{
 		Tag: answerTag(hop), Budget: int32(unspent),
 		InFlight: int32(ld.InFlight + ld.Waiting), Limit: int32(ld.Limit), CutOff: int32(ld.CutOff),
-		RouteCutOff: int32(cut), RouteCutOffAgeUs: age.Microseconds(), RateLimitMilli: ld.RateLimit.Milli(),
+		RouteCutOff: int32(cut), RouteCutOffAgeUs: age.Microseconds(), RateLimitMilli: ld.RateLimit.Milli(), DrainingProcess: fw.drainingProcess(),
 	}
 }
 
@@ -99,12 +99,13 @@
 // and those whose key is not in this node's table.
 func (fw *Forwarder) checkHop(hop *forwarderpb.Hop) *gypsumhoist.Refusal {
 	tb := fw.holder.Current()
+	up := fw.upstream.Load()
 	switch {
 	case hop.GetTarget() != string(fw.instance):
 		return gypsumhoist.NotRun(gypsumhoist.ReasonNoUpstream, 0, "the address belongs to another instance now")
-	case fw.upstream.Load() == nil:
+	case up == nil:
 		return gypsumhoist.NotRun(gypsumhoist.ReasonNoUpstream, 0, "no upstream has announced itself here")
-	case fw.leaving.Load(), fw.refusingHops.Load():
+	case fw.leaving.Load(), up.draining.Load(), fw.refusingHops.Load():
 		return gypsumhoist.NotRun(gypsumhoist.ReasonLeaving, 0, "the upstream is leaving")
 	case hop.GetKeyId() != "" && tb.Revision() > 0 && !tb.Granted(registrar.KeyID(hop.GetKeyId())):
 		return gypsumhoist.NotRun(gypsumhoist.ReasonTableStale, 0, "the key is withdrawn, or newer than this node's table")
--- a/forwarder/refusal_test.go
+++ b/forwarder/refusal_test.go
@@ -77,7 +77,7 @@
 			})()
 		},
 		Entry("that is meant for another instance", func(_ *fleet, _ *node, hop *forwarderpb.Hop) { hop.Target = "slips-9" }, gypsumhoist.ReasonNoUpstream),
-		Entry("without an upstream", func(_ *fleet, nd *node, _ *forwarderpb.Hop) { nd.fw.SetUpstream(nd.upstreamAddr(), nil) }, gypsumhoist.ReasonNoUpstream),
+		Entry("without an upstream", func(_ *fleet, nd *node, _ *forwarderpb.Hop) { nd.fw.SetUpstream(nd.upstreamAddr(), time.Time{}, nil) }, gypsumhoist.ReasonNoUpstream),
 		Entry("while the upstream leaves", func(_ *fleet, nd *node, _ *forwarderpb.Hop) { nd.fw.SetLeaving(true) }, gypsumhoist.ReasonLeaving),
 		Entry("at the end of a stop", func(_ *fleet, nd *node, _ *forwarderpb.Hop) { nd.fw.RefuseHops() }, gypsumhoist.ReasonLeaving),
 		Entry("under a key that it does not know", func(_ *fleet, _ *node, hop *forwarderpb.Hop) { hop.KeyId = "0123" }, gypsumhoist.ReasonTableStale),
--- a/header.go
+++ b/header.go
@@ -24,6 +24,9 @@
 	HeaderAttempt = "Gypsumhoist-Attempt"
 	// HeaderRetryAfter carries on a refusal the milliseconds after which a caller may retry; Retry-After has the same in seconds.
 	HeaderRetryAfter = "Gypsumhoist-Retry-After-Ms"
+	// HeaderDraining with the value 1 on an upstream's answer says that this process of the upstream is leaving and is to get no
+	// new requests.
+	HeaderDraining = "Gypsumhoist-Draining"
 	// HeaderKey carries the caller's key; "Authorization: Bearer <key>" is the alternative.
 	HeaderKey = "Gypsumhoist-Key"
 	// HeaderIdempotencyKey marks a request that must run at most once.
--- a/router/api.go
+++ b/router/api.go
@@ -33,6 +33,9 @@
 	// Slots is the number of requests that the upstream reports to run concurrently; values below one count as one.
 	Slots int
 	State State
+	// Process identifies the process of the upstream, regardless of restarts of its node: when it started, in Unix milliseconds; zero
+	// if that is unknown.
+	Process int64
 	// Age is how long the upstream itself has run, regardless of restarts of its node; zero if it is new or its age is unknown.
 	Age time.Duration
 }
--- a/router/group.go
+++ b/router/group.go
@@ -67,6 +67,7 @@
 	}
 	gr.members = members
 	gr.initialized = true
+	gr.reviewBeliefs()
 	gr.sorted = gr.sorted[:0]
 	for _, mb := range members {
 		gr.sorted = append(gr.sorted, mb)
@@ -125,7 +126,7 @@
 	for _, mb := range gr.sorted {
 		grade := gr.reachability.GradeOf(prober.Member{Peer: mb.upstream.Peer, Domain: mb.upstream.Domain})
 		switch {
-		case mb.upstream.State == StateDraining, grade == prober.GradeUnreachable:
+		case gr.drains(mb), grade == prober.GradeUnreachable:
 			continue
 		case grade == prober.GradeSilent:
 			gr.silent = append(gr.silent, mb)
--- a/router/report.go
+++ b/router/report.go
@@ -9,23 +9,50 @@
 type Report struct {
 	// RateLimit is how many requests per second the upstream takes from all nodes together.
 	RateLimit gypsumhoist.RateLimit
+	// Draining reports that the upstream's process drains; it is never taken back. Process identifies it, as in Upstream.
+	Draining bool
+	Process  int64
 }
 
-// belief is the last report of an upstream. It outlasts the upstream's place in the view and restarts of the upstream's node,
-// which learns it from the requests that it gets.
+// belief is the last report of an upstream. It outlasts the upstream's place in the view and restarts of the upstream's node.
 type belief struct {
 	rateLimit gypsumhoist.RateLimit
+	draining  bool
+	process   int64 // the one that drains
+	// ended is set once the view shows that an unknown process drains or is gone. What the view shows as ready later is another one.
+	ended bool
 }
 
-// report updates the belief about an upstream, and reports whether a limit has changed.
-func (gr *Group) report(in gypsumhoist.Instance, rp Report) bool {
+// reportChange is what a report has changed.
+type reportChange struct{ rateLimit, draining bool }
+
+// report updates the belief about an upstream.
+func (gr *Group) report(in gypsumhoist.Instance, rp Report) reportChange {
 	old := gr.beliefs[in]
-	if !rp.RateLimit.Known() || old.rateLimit == rp.RateLimit {
-		return false
+	bl := old
+	if rp.RateLimit.Known() {
+		bl.rateLimit = rp.RateLimit
+	}
+	if rp.Draining && (!old.draining || rp.Process > old.process) {
+		bl.draining, bl.process, bl.ended = true, rp.Process, false
+	}
+	if bl == old {
+		return reportChange{}
+	}
+	gr.believe(in, bl)
+	ch := reportChange{rateLimit: bl.rateLimit.Limited() && bl.rateLimit != old.rateLimit || old.rateLimit.Limited() && !bl.rateLimit.Limited()}
+	if bl.draining && (!old.draining || bl.process != old.process) {
+		ch.draining = true
+		gr.buildTiers()
 	}
-	if !rp.RateLimit.Limited() {
+	return ch
+}
+
+// believe stores a belief, or drops it if it says nothing.
+func (gr *Group) believe(in gypsumhoist.Instance, bl belief) {
+	if !bl.rateLimit.Limited() && !bl.draining {
 		delete(gr.beliefs, in)
-		return old.rateLimit.Limited()
+		return
 	}
 	if _, known := gr.beliefs[in]; !known && len(gr.beliefs) >= maxBeliefs {
 		for other := range gr.beliefs {
@@ -33,6 +60,31 @@
 			break
 		}
 	}
-	gr.beliefs[in] = belief{rateLimit: rp.RateLimit}
-	return true
+	gr.beliefs[in] = bl
+}
+
+// reviewBeliefs ends what is believed of processes that the view shows to be replaced.
+func (gr *Group) reviewBeliefs() {
+	for in, bl := range gr.beliefs {
+		if !bl.draining {
+			continue
+		}
+		mb, present := gr.members[in]
+		switch {
+		case present && mb.upstream.Process > bl.process && bl.process != 0:
+			bl.draining = false
+		case bl.process != 0:
+		case !present || mb.upstream.State == StateDraining:
+			bl.ended = true
+		case bl.ended:
+			bl.draining = false
+		}
+		gr.believe(in, bl)
+	}
+}
+
+// drains reports whether a member drains, by the view or by an answer of its present process.
+func (gr *Group) drains(mb *member) bool {
+	bl := gr.beliefs[mb.upstream.Instance]
+	return mb.upstream.State == StateDraining || bl.draining && (bl.process == 0 || mb.upstream.Process <= bl.process)
 }
--- a/router/report_test.go
+++ b/router/report_test.go
@@ -36,3 +36,52 @@
 		Expect(pick().RateLimit.Limited()).To(BeFalse())
 	})
 })
+
+var _ = Describe("an upstream that says that it drains", func() {
+	DescribeTable("gets no request until the view shows another process of it",
+		func(first, second int64) {
+			rt := router.New("hobart")
+			ups := upstreams("hobart", 2, 10)
+			ups[0].Process = first
+			rt.SetUpstreams("slips", ups)
+			for {
+				pk, err := rt.Pick("slips", true)
+				Expect(err).NotTo(HaveOccurred())
+				if pk.Upstream.Instance == ups[0].Instance {
+					pk.Report(router.Report{Draining: true, Process: first})
+					pk.Done(router.Outcome{})
+					break
+				}
+				pk.Done(router.Outcome{})
+			}
+			picked := func() int {
+				num := 0
+				for range 100 {
+					pk, err := rt.Pick("slips", true)
+					Expect(err).NotTo(HaveOccurred())
+					if pk.Upstream.Instance == ups[0].Instance {
+						num++
+					}
+					pk.Done(router.Outcome{})
+				}
+				return num
+			}
+			Expect(picked()).To(BeZero())
+			Expect(rt.View("slips").Upstreams).To(Equal(1))
+			if first != 0 {
+				ups[0].Boot++
+				rt.SetUpstreams("slips", ups[1:])
+			}
+			rt.SetUpstreams("slips", ups)
+			Expect(picked()).To(BeZero(), "its node has restarted")
+			ups[0].State = router.StateDraining
+			rt.SetUpstreams("slips", ups)
+			ups[0].State, ups[0].Process = router.StateReady, second
+			ups[0].Boot++
+			rt.SetUpstreams("slips", ups)
+			Expect(rt.View("slips").Upstreams).To(Equal(2))
+		},
+		Entry("known by its start", int64(1000), int64(2000)),
+		Entry("of unknown start, after it was seen to drain", int64(0), int64(0)),
+	)
+})
--- a/router/router.go
+++ b/router/router.go
@@ -21,6 +21,8 @@
 		"Probes of an ejected upstream were answered; it gets requests again, few at first (slow start).")
 	eventRateLimit = logger.Define(1502, logger.LevelInfo, "rate_limit_heard",
 		"An answer of an upstream names another limit of requests per second, or none; this node tells it to the upstream's node if that restarts.")
+	eventDraining = logger.Define(1503, logger.LevelInfo, "draining_heard",
+		"An answer of an upstream says that it drains; this node sends it no new requests, whatever its node announces, until another process of it runs.")
 )
 
 // Router picks upstreams for all services known to this node. It is safe for concurrent use.
@@ -230,7 +232,10 @@
 	pk.service.mu.Lock()
 	changed := pk.service.group.report(pk.Upstream.Instance, rp)
 	pk.service.mu.Unlock()
-	if changed {
+	if changed.draining {
+		pk.router.logger.Log(eventDraining, "upstream", pk.Upstream.Instance, "process", rp.Process)
+	}
+	if changed.rateLimit {
 		pk.router.logger.Log(eventRateLimit, "upstream", pk.Upstream.Instance, "before", pk.RateLimit, "rate_limit", rp.RateLimit)
 	}
 }
--- a/server/node.go
+++ b/server/node.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumhoist/gypsumhoist/forwarder"
 	"github.com/gypsumhoist/gypsumhoist/gossiper"
 	"github.com/gypsumhoist/gypsumhoist/loader"
+	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 	"github.com/gypsumhoist/gypsumhoist/reporter"
 	"github.com/gypsumhoist/gypsumhoist/retrier"
@@ -22,6 +23,9 @@
 	"github.com/gypsumhoist/gypsumhoist/throttler"
 )
 
+var eventUpstreamDrains = logger.Define(1033, logger.LevelInfo, "upstream_drains",
+	"An answer of this node's upstream says that the upstream drains; it gets no new requests, whatever it announces.")
+
 // maxRecords is the number of request records that a node keeps for explain.
 const maxRecords = 4096
 
@@ -48,6 +52,9 @@
 	watching     map[gypsumhoist.Service]bool
 	announcement announcer.Announcement
 	pool         *connector.UpstreamPool
+	// transport sends requests to the announced upstream; drains is set once that has said in an answer that it drains.
+	transport forwarder.Upstream
+	drains    bool
 }
 
 func newNode(sv *Server, holder *registrar.Holder) *node {
@@ -85,6 +92,7 @@
 		forwarder.WithPeers(sv.peers), forwarder.WithRecordStore(nd.records), forwarder.WithLogger(sv.logger),
 		forwarder.WithMetrics(sv.metrics), forwarder.WithServiceWatch(nd.watch), forwarder.WithObserver(nd.observe),
 		forwarder.WithQuarantiner(nd.quarantine.quarantiner), forwarder.WithBrokenConnection(nd.quarantine.probeUpstream),
+		forwarder.WithDrainingNotice(nd.upstreamDrains),
 		forwarder.WithBounds(bd.BodyBytes, time.Duration(bd.FirstByte)),
 		forwarder.WithUnframedAnswers(sv.settings.Upstream.UnframedAnswers == loader.UnframedAccept),
 	)...)
@@ -156,6 +164,26 @@
 	if !an.SameUpstream(nd.announcement) {
 		nd.replaceUpstream(an)
 	}
+	nd.apply(an)
+}
+
+// upstreamDrains applies that an upstream has said in an answer that it drains.
+func (nd *node) upstreamDrains(up forwarder.Upstream) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if up != nd.transport || nd.drains {
+		return
+	}
+	nd.drains = true
+	nd.sv.logger.Log(eventUpstreamDrains, "service", nd.announcement.Service, "boot", nd.announcement.Boot, "announced", nd.announcement.State)
+	nd.apply(nd.announcement)
+}
+
+// apply puts an announcement of the present upstream in force. It needs the mutex.
+func (nd *node) apply(an announcer.Announcement) {
+	if nd.drains && an.Service != "" {
+		an.State = announcer.StateDraining
+	}
 	nd.announcement = an
 	nd.admitter.SetSlots(an.Slots)
 	nd.forwarder.SetLeaving(an.State == announcer.StateDraining)
@@ -168,16 +196,18 @@
 		nd.pool.Stop()
 		nd.pool = nil
 	}
+	nd.transport, nd.drains = nil, false
 	nd.admitter.SetRateLimit(gypsumhoist.RateLimit{}, admitter.RateLimitForgotten)
 	if an.Service == "" {
-		nd.forwarder.SetUpstream(netip.AddrPort{}, nil)
+		nd.forwarder.SetUpstream(netip.AddrPort{}, time.Time{}, nil)
 		return
 	}
 	nd.pool = connector.NewUpstreamPool(an.Address, connector.WithNetwork(nd.sv.network),
 		connector.WithResponseCheck(nd.sv.answerCheck), connector.WithIdleTimeout(time.Duration(nd.sv.settings.Upstream.IdleTime)),
 		connector.WithMaxConns(an.Connections), connector.WithLogger(nd.sv.logger), connector.WithMetrics(nd.sv.metrics))
 	nd.pool.Start()
-	nd.forwarder.SetUpstream(an.Address, nd.sv.upstreamMiddleware(an, nd.pool))
+	nd.transport = nd.sv.upstreamMiddleware(an, nd.pool)
+	nd.forwarder.SetUpstream(an.Address, an.Started, nd.transport)
 }
 
 // publishUpstream announces the local upstream to the fleet. Load and cut-off are left out: entry nodes learn them
--- a/server/view.go
+++ b/server/view.go
@@ -72,7 +72,7 @@
 		out = append(out, router.Upstream{
 			Instance: mb.Instance, Domain: mb.Domain, Peer: mb.Peer, Boot: uint64(mb.Boot),
 			Slots: mb.Upstream.Slots, State: upstreamState(mb),
-			Age: upstreamAge(now, mb.Upstream.Started),
+			Age: upstreamAge(now, mb.Upstream.Started), Process: processOf(mb.Upstream.Started),
 		})
 	}
 	return out
@@ -91,6 +91,14 @@
 	}
 }
 
+// processOf returns the id of an upstream's process by its start; zero if that is unknown.
+func processOf(started time.Time) int64 {
+	if started.IsZero() {
+		return 0
+	}
+	return started.UnixMilli()
+}
+
 // upstreamAge returns how long an upstream has run; zero if its start is unknown or in the future, as clocks may differ.
 func upstreamAge(now, started time.Time) time.Duration {
 	if started.IsZero() {
