connector: a further attempt of a request that must run at most once gets a connection of its own

What callers saw: another operator reports 'not run, try again' for requests that an upstream was running. Cause: an upstream that refused a request though it had room may get it again, mostly on the same kept connection. If it then writes the first refusal once more, that has the id of the present attempt and was taken for its answer. Change: attempts after the first of a request that is not idempotent use a connection that carries nothing else. Evidence: 'a refusal that an upstream writes once more on a kept connection is not taken for that of the same request's next attempt there' failed before: 503 not_run for a request that had run. Conclusion: late bytes of an earlier exchange can't reach such a request; idempotent ones keep their connections.

--- a/connector/upstreampool.go
+++ b/connector/upstreampool.go
@@ -36,6 +36,7 @@
 
 	mu        sync.Mutex
 	transport *http.Transport
+	single    *http.Transport // uses each connection for one request
 	conns     map[*poolConn]struct{}
 	dials     *metrics.Counter
 	retired   *metrics.Counter
@@ -47,6 +48,8 @@
 func NewUpstreamPool(addr netip.AddrPort, opts ...Option) *UpstreamPool {
 	up := &UpstreamPool{addr: addr, config: newConfig(opts), conns: map[*poolConn]struct{}{}}
 	up.transport = up.newTransport()
+	up.single = up.newTransport()
+	up.single.DisableKeepAlives = true
 	up.dials = counter(up.config.metrics, `gypsumhoist_connector_dials_total{kind="upstream"}`)
 	up.retired = counter(up.config.metrics, `gypsumhoist_connector_retired_total{kind="upstream"}`)
 	return up
@@ -67,7 +70,23 @@
 	}
 }
 
-// currentTransport returns the transport for new requests.
+type ownConnectionKey struct{}
+
+// WithOwnConnection returns a context whose requests through an UpstreamPool go over a connection that has carried no other request, so
+// that no late bytes of an earlier exchange can be taken for the response.
+func WithOwnConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, ownConnectionKey{}, true)
+}
+
+// transportFor returns the transport for a new request.
+func (up *UpstreamPool) transportFor(ctx context.Context) *http.Transport {
+	if ctx.Value(ownConnectionKey{}) != nil {
+		return up.single
+	}
+	return up.currentTransport()
+}
+
+// currentTransport returns the transport for requests over persistent connections.
 func (up *UpstreamPool) currentTransport() *http.Transport {
 	up.mu.Lock()
 	defer up.mu.Unlock()
@@ -90,7 +109,7 @@
 	target.Scheme = "http"
 	target.Host = up.addr.String()
 	out.URL = &target
-	rsp, err := up.currentTransport().RoundTrip(out)
+	rsp, err := up.transportFor(req.Context()).RoundTrip(out)
 	if err != nil {
 		return nil, newFailure(req.Context(), at.notRunHTTP1(), err)
 	}
--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/admitter"
 	"github.com/gypsumhoist/gypsumhoist/authenticator"
+	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/explainer"
 	"github.com/gypsumhoist/gypsumhoist/forwarder/forwarderpb"
 	"github.com/gypsumhoist/gypsumhoist/quarantiner"
@@ -172,6 +173,10 @@
 		out.Header.Set(gypsumhoist.HeaderWorkspace, hop.GetWorkspace())
 	}
 	out.Header.Set(gypsumhoist.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	if hop.GetAttempt() > 1 && !hop.GetIdempotent() {
+		// An earlier attempt may have been refused here, and that refusal can come once more on its connection.
+		ctx = connector.WithOwnConnection(ctx)
+	}
 	rs, err := fw.roundTrip(ctx, up, out)
 	if err != nil {
 		rn.record.Note("connector", "failed", err.Error())
