server: test: an upstream that drains by its answers gets nothing from the whole fleet

Change: the emulated upstream can say in its answers that it drains while it announces itself as ready. Evidence: after the first such answer none of 60 calls from three nodes runs there, and none fails. Conclusion: the contract holds from end to end, not only in the forwarder's and router's tests.

--- a/emulator/upstream.go
+++ b/emulator/upstream.go
@@ -70,6 +70,7 @@
 	reportLag           atomic.Int64 // in announcements
 	pendingLoads        []int        // recent loads for reportLag, oldest first
 	announcementsPaused atomic.Bool
+	saysDraining        atomic.Bool
 	running             atomic.Int64
 	mu                  sync.Mutex
 	random              *rand.Rand
@@ -184,6 +185,9 @@
 // PauseAnnouncements pauses announcements, or resumes them if on is false.
 func (up *Upstream) PauseAnnouncements(on bool) { up.announcementsPaused.Store(on) }
 
+// SayDraining makes the upstream say in its answers that it drains, or no longer if on is false; its announcements stay as they are.
+func (up *Upstream) SayDraining(on bool) { up.saysDraining.Store(on) }
+
 // Running returns the number of requests that run now.
 func (up *Upstream) Running() int { return int(up.running.Load()) }
 
@@ -286,6 +290,9 @@
 	}
 	wr.Header().Set("Content-Type", "text/plain")
 	wr.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if up.saysDraining.Load() {
+		wr.Header().Set(gypsumhoist.HeaderDraining, "1")
+	}
 	// A write error means that the client has gone.
 	_, _ = io.WriteString(wr, text)
 }
--- a/server/fleet_test.go
+++ b/server/fleet_test.go
@@ -142,6 +142,29 @@
 		Expect(tf.ran[tf.fleet.Names()[1]]).To(BeNumerically(">", calls/10))
 	}))
 
+	ginkgo.It("sends no request to an upstream that says in its answers that it drains, whatever it announces", inFleet(func(tf *testFleet) {
+		leaving := tf.fleet.Names()[1]
+		tf.fleet.Process(leaving).Upstream.SayDraining(true)
+		ran := func() int {
+			tf.mu.Lock()
+			defer tf.mu.Unlock()
+			return tf.ran[leaving]
+		}
+		before := ran()
+		for ran() == before {
+			tf.call(1, "/slips/1")
+		}
+		// Gossip reaches the nodes that have not heard of it from an answer.
+		time.Sleep(2 * time.Second)
+		before = ran()
+		for number := range 60 {
+			status, _ := tf.call(number%3, "/slips/1")
+			Expect(status).To(Equal(http.StatusOK))
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(ran()).To(Equal(before))
+	}))
+
 	ginkgo.It("finds each metric in docs/METRICS.md", inFleet(func(tf *testFleet) {
 		page, err := os.ReadFile("../docs/METRICS.md")
 		Expect(err).NotTo(HaveOccurred())
