admitter: a limit that only peers have heard of is lifted by the upstream's first answer

What callers saw: nothing yet; a process that replaced a limited one would have been held to the old limit for three answers, up to 6 s with a limit of zero. Cause: the same three answers were asked for, whether the upstream had named the limit to this node or calls had brought it along. Change: only a limit that an answer has named needs three answers without it. Evidence: 'that a peer has heard of an earlier process is lifted by the first answer' failed before. Conclusion: what is remembered for a restarted node does not outlast its first look at the upstream.

--- a/admitter/core.go
+++ b/admitter/core.go
@@ -215,6 +215,7 @@
 		changed = !co.pace.limit.Known() && co.pace.set(now, limit)
 	case RateLimitForgotten:
 		changed = co.pace.set(now, gypsumhoist.RateLimit{})
+		co.pace.confirmed = false
 	}
 	co.dispatch(now)
 	return changed
--- a/admitter/pace.go
+++ b/admitter/pace.go
@@ -22,19 +22,20 @@
 	limit  gypsumhoist.RateLimit
 	tokens float64
 	at     time.Duration // time of tokens
-	// unnamed counts the answers in a row that named no limit.
-	unnamed int
+	// confirmed is set if the upstream itself has named the limit; unnamed counts the answers in a row that named none since.
+	confirmed bool
+	unnamed   int
 }
 
 // named applies the limit that an answer of the upstream names, and reports whether the limit has changed.
 func (pc *pace) named(now time.Duration, limit gypsumhoist.RateLimit) bool {
-	if pc.limit.Limited() && !limit.Limited() {
+	if pc.confirmed && !limit.Limited() {
 		pc.unnamed++
 		if pc.unnamed < paceLiftAnswers {
 			return false
 		}
 	}
-	pc.unnamed = 0
+	pc.unnamed, pc.confirmed = 0, limit.Limited()
 	return pc.set(now, limit)
 }
 
--- a/admitter/pace_test.go
+++ b/admitter/pace_test.go
@@ -111,6 +111,16 @@
 		Expect(limit().Known()).To(BeFalse())
 	})
 
+	It("that a peer has heard of an earlier process is lifted by the first answer", func() {
+		ad := admitter.New()
+		ad.SetRateLimit(gypsumhoist.RateLimitOf(5), admitter.RateLimitFromAnswer)
+		ad.SetRateLimit(gypsumhoist.RateLimit{}, admitter.RateLimitForgotten)
+		ad.SetRateLimit(gypsumhoist.RateLimitOf(5), admitter.RateLimitFromPeer)
+		Expect(ad.Load().RateLimit.Limited()).To(BeTrue())
+		ad.SetRateLimit(gypsumhoist.NoRateLimit, admitter.RateLimitFromAnswer)
+		Expect(ad.Load().RateLimit.Limited()).To(BeFalse())
+	})
+
 	It("reports the concurrency that it allows", func() {
 		co := admitter.NewCore(40, rand.New(rand.NewPCG(1, 1)))
 		for at := range 20 {
