gypsumhoist: a rate limit keeps its value from node to node

What callers saw: nothing; a limit such as 1.001 would have lost a thousandth with each message between nodes. Cause: the value in thousandths was rounded down after each conversion. Change: it is rounded to the nearest. Evidence: TestRateLimit over all limits up to 50 failed before. Conclusion: beliefs about one limit are equal at all nodes.

--- a/ratelimit.go
+++ b/ratelimit.go
@@ -32,7 +32,7 @@
 	if !(perSecond >= 0 && perSecond <= RateLimitMax) {
 		return NoRateLimit
 	}
-	return RateLimit{known: true, limited: true, milli: int64(math.Floor(perSecond * 1000))}
+	return RateLimit{known: true, limited: true, milli: int64(math.Round(perSecond * 1000))}
 }
 
 // ParseRateLimit parses a HeaderRateLimit value. An empty value is NoRateLimit; an invalid one is an error.
--- a/ratelimit_test.go
+++ b/ratelimit_test.go
@@ -18,6 +18,9 @@
 		g.Expect(got).To(Equal(want), txt)
 		g.Expect(gypsumhoist.RateLimitOfMilli(got.Milli())).To(Equal(got), txt)
 	}
+	for milli := range int64(50_000) {
+		g.Expect(*gypsumhoist.RateLimitOfMilli(&milli).Milli()).To(Equal(milli))
+	}
 	for _, txt := range []string{"x", "-1", "NaN", "Inf", "1e400", "5 "} {
 		_, err := gypsumhoist.ParseRateLimit(txt)
 		g.Expect(err).To(HaveOccurred(), txt)
