forwarder: reports of upstreams that say nothing new cost no further work

Cause: each call took the admitter's lock twice more and looked for waiting requests, though nearly no upstream names a limit. Change: what is not known is not passed on to the admitter, a report that changes nothing starts nothing, and one feedback serves a local attempt's report and refusal. Conclusion: same decisions, less on the path of a call.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -120,7 +120,6 @@
 	defer ad.mu.Unlock()
 	old := ad.core.pace.limit
 	if !ad.core.SetRateLimit(ad.now(), limit, source) {
-		ad.deliver()
 		return
 	}
 	if ad.resume != nil {
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -217,7 +217,9 @@
 		changed = co.pace.set(now, gypsumhoist.RateLimit{})
 		co.pace.confirmed = false
 	}
-	co.dispatch(now)
+	if changed {
+		co.dispatch(now)
+	}
 	return changed
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -180,20 +180,19 @@
 // hop returns the message about the call for the upstream's node.
 func (cl *call) hop(pk *router.Pick, no uint32, budget int) *forwarderpb.Hop {
 	return &forwarderpb.Hop{
-		Target:     string(pk.Upstream.Instance),
-		Request:    string(cl.id),
-		Workspace:  string(cl.workspace),
-		Route:      cl.row.Route,
-		KeyId:      string(cl.keyID),
-		Importance: int32(cl.importance),
-		Weight:     int32(cl.weight()),
-		DeadlineUs: time.Until(cl.deadline).Microseconds(),
-		Budget:     int32(budget),
-		Depth:      int32(cl.depth),
-		Idempotent: cl.idempotent,
-		Attempt:    no,
-		PatienceUs: queueTimeout(cl.row).Microseconds(),
-
+		Target:         string(pk.Upstream.Instance),
+		Request:        string(cl.id),
+		Workspace:      string(cl.workspace),
+		Route:          cl.row.Route,
+		KeyId:          string(cl.keyID),
+		Importance:     int32(cl.importance),
+		Weight:         int32(cl.weight()),
+		DeadlineUs:     time.Until(cl.deadline).Microseconds(),
+		Budget:         int32(budget),
+		Depth:          int32(cl.depth),
+		Idempotent:     cl.idempotent,
+		Attempt:        no,
+		PatienceUs:     queueTimeout(cl.row).Microseconds(),
 		RateLimitMilli: pk.RateLimit.Milli(),
 	}
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -30,10 +30,11 @@
 	ctx, cancel := context.WithDeadline(ctx, at.cl.deadline)
 	rn, rf := at.fw.runLocally(ctx, at.hop, out.WithContext(ctx))
 	at.headLatency = time.Since(at.started)
-	at.pick.Report(reportOf(at.fw.feedback(at.hop, 0)))
+	head := at.fw.feedback(at.hop, 0)
+	at.pick.Report(reportOf(head))
 	if rf != nil {
 		cancel()
-		at.refused(rf, at.fw.feedback(at.hop, 0))
+		at.refused(rf, head)
 		return nil, rf
 	}
 	rp := &reply{rs: rn.rs, childRefused: rn.call.Refused(), childFailed: rn.call.Failed}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -202,11 +202,10 @@
 // New returns a forwarder without an upstream.
 func New(opts ...Option) *Forwarder {
 	fw := &Forwarder{
-		calls:     authenticator.NewCalls[*retrier.Budget](),
-		bodyBytes: DefaultBodyBytes,
-		firstByte: DefaultFirstByte,
-		onBroken:  func(context.Context) {},
-
+		calls:      authenticator.NewCalls[*retrier.Budget](),
+		bodyBytes:  DefaultBodyBytes,
+		firstByte:  DefaultFirstByte,
+		onBroken:   func(context.Context) {},
 		onDraining: func(Upstream) {},
 		identify:   func(*http.Request) gypsumhoist.RequestID { return newRequestID() },
 	}
--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -111,7 +111,9 @@
 		return rf
 	}
 	rn.flight = fl
-	fw.admitter.SetRateLimit(gypsumhoist.RateLimitOfMilli(hop.RateLimitMilli), admitter.RateLimitFromPeer)
+	if limit := gypsumhoist.RateLimitOfMilli(hop.RateLimitMilli); limit.Known() {
+		fw.admitter.SetRateLimit(limit, admitter.RateLimitFromPeer)
+	}
 	deadline, _ := ctx.Deadline()
 	tk, err := fw.admitter.Admit(ctx, admitter.Request{
 		Workspace:  gypsumhoist.Workspace(hop.GetWorkspace()),
