router: a process whose clock was set back is not taken for the one that drains

What callers saw: nothing; on a machine whose clock was set back, a new process of an upstream would have got no requests. Cause: starts were compared by order, and such a process starts earlier by its clock than the one that drained. Change: what is believed holds for the process with that very start. Evidence: 'gets no request until the view shows another process of it, known by its start, by a clock that was set back' failed before. Conclusion: no order of clocks is needed.

--- a/router/report.go
+++ b/router/report.go
@@ -33,7 +33,7 @@
 	if rp.RateLimit.Known() {
 		bl.rateLimit = rp.RateLimit
 	}
-	if rp.Draining && (!old.draining || rp.Process > old.process) {
+	if rp.Draining && (!old.draining || rp.Process != old.process) {
 		bl.draining, bl.process, bl.ended = true, rp.Process, false
 	}
 	if bl == old {
@@ -86,5 +86,6 @@
 // drains reports whether a member drains, by the view or by an answer of its present process.
 func (gr *Group) drains(mb *member) bool {
 	bl := gr.beliefs[mb.upstream.Instance]
-	return mb.upstream.State == StateDraining || bl.draining && (bl.process == 0 || mb.upstream.Process <= bl.process)
+	same := mb.upstream.Process == bl.process || mb.upstream.Process == 0 || bl.process == 0
+	return mb.upstream.State == StateDraining || bl.draining && same
 }
--- a/router/report_test.go
+++ b/router/report_test.go
@@ -82,6 +82,7 @@
 			Expect(rt.View("slips").Upstreams).To(Equal(2))
 		},
 		Entry("known by its start", int64(1000), int64(2000)),
+		Entry("known by its start, by a clock that was set back", int64(2000), int64(1000)),
 		Entry("of unknown start, after it was seen to drain", int64(0), int64(0)),
 	)
 })
