--- a/retrier/ratio.go
+++ b/retrier/ratio.go
@@ -10,7 +10,7 @@
 )
 
 // MinRetriesPerWindow is the number of retries that a row may make per window however few its first attempts,
-// so that a row with little traffic can retry at all.
+// as far as its service has credit, so that a row with little traffic can retry at all.
 const MinRetriesPerWindow = 2
 
 // Ratio compares the retries of one row with its first attempts over the last 10 s.
@@ -33,7 +33,8 @@
 	ra.total.first++
 }
 
-// Left returns how many more retries the window allows; see TryRetry.
+// Left returns how many more retries the window allows: percent of the first attempts or MinRetriesPerWindow, whichever is greater, less
+// the retries made. If percent is zero or less, retries are forbidden.
 func (ra *Ratio) Left(now time.Duration, percent int) int64 {
 	ra.advance(now)
 	if percent <= 0 {
@@ -49,16 +50,6 @@
 	ra.total.retries++
 }
 
-// TryRetry counts a retry if the retries in the window, including this one, don't exceed percent of the first attempts or
-// MinRetriesPerWindow, whichever is greater. It reports whether it did. If percent is zero or less, retries are forbidden.
-func (ra *Ratio) TryRetry(now time.Duration, percent int) bool {
-	if ra.Left(now, percent) <= 0 {
-		return false
-	}
-	ra.CountRetry(now)
-	return true
-}
-
 func (ra *Ratio) currentSlice() *attempts { return &ra.slices[ra.current%ratioSlices] }
 
 // advance drops the slices that have left the window. A time before the current slice changes nothing.
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -157,9 +157,10 @@
 					firsts = append(firsts, now)
 					continue
 				}
-				if !ra.TryRetry(now, percent) {
+				if ra.Left(now, percent) <= 0 {
 					continue
 				}
+				ra.CountRetry(now)
 				retries = append(retries, now)
 				// The window moves by whole slices, so it spans between 9 s and 10 s.
 				if most := max(retrier.MinRetriesPerWindow, percent*since(firsts, now-10*time.Second)/100); since(retries, now-9*time.Second) > most {
