--- a/review/platform/earlyanswer.go
+++ b/review/platform/earlyanswer.go
@@ -16,10 +16,10 @@
 
 const (
 	longBody     = 16 << 20               // bytes; the configuration's maxBodyBytes is 64 MiB
-	readOnAfter  = 20 * time.Millisecond  // between the early answer and the rest of the body
+	uploaders    = 6                      // clients that upload, one body after the other
 	shortWork    = 400 * time.Millisecond // of the requests on kept connections
 	keptClients  = 12
-	uploadPause  = 500 * time.Millisecond
+	uploadPause  = 50 * time.Millisecond
 	uploadsFor   = 25 * time.Second
 	restartDelay = 500 * time.Millisecond // until the platform starts a process again that has ended
 )
@@ -88,7 +88,6 @@
 				return
 			}
 			up.record.note("%s has answered %s and reads on", up.id, id)
-			time.Sleep(readOnAfter)
 			num, err := io.Copy(io.Discard, req.Body)
 			up.record.note("%s has read %d bytes of the body of %s: %v", up.id, num, id, err)
 			if err != nil {
@@ -198,13 +197,9 @@
 		wg.Go(func() { clients[no].run(end, func() { lost.Add(1) }) })
 	}
 	time.Sleep(4 * time.Second)
-	for no := 1; time.Now().Before(end); no++ {
-		id := fmt.Sprintf("long-%d", no)
-		status, body, _ := call(http.MethodPost, "http://"+front.addr(outboundPort)+"/files/"+id, strings.Repeat("f", longBody), http.Header{
-			"X-Gypsumhoist-Attempt-Id": {id}, "X-Gypsumhoist-Deadline-Ms": {"5000"}, "Host": {"desk.example"},
-		}, 6*time.Second)
-		fl.record.note("upload %s at %s: %d %.120s", id, front.name, status, body)
-		time.Sleep(uploadPause)
+	body := strings.Repeat("f", longBody)
+	for no := range uploaders {
+		wg.Go(func() { upload(front, no, body, end) })
 	}
 	wg.Wait()
 	answered := 0
@@ -239,3 +234,15 @@
 		}
 	}
 }
+
+// upload sends one long body after the other.
+func upload(ma *machine, client int, body string, end time.Time) {
+	for no := 1; time.Now().Before(end); no++ {
+		id := fmt.Sprintf("long%d-%d", client, no)
+		status, answer, _ := call(http.MethodPost, "http://"+ma.addr(outboundPort)+"/files/"+id, body, http.Header{
+			"X-Gypsumhoist-Attempt-Id": {id}, "X-Gypsumhoist-Deadline-Ms": {"5000"}, "Host": {"desk.example"},
+		}, 6*time.Second)
+		ma.fleet.record.note("upload %s at %s: %d %.120s", id, ma.name, status, answer)
+		time.Sleep(uploadPause)
+	}
+}
