registrar: late tables are logged and counted

Cause: a node whose table was not confirmed for longer than 2 s but for less than the lease of 5 s left no trace, so that a source that was silent, one that was stale and a slow node could not be told apart. Change: event 2405 and a counter; the line holds the table's age, the revisions before and after, and the pulls that failed or brought a stale table meanwhile. No decision changes.

--- a/registrar/distributor.go
+++ b/registrar/distributor.go
@@ -45,6 +45,8 @@
 		"The table is confirmed again after it was stale.")
 	eventDeltaUnusable = logger.Define(2404, logger.LevelError, "delta_unusable",
 		"A source sent a delta of the table that this instance can't apply; the source may run a newer version.")
+	eventLate = logger.Define(2405, logger.LevelWarn, "table_late",
+		"The table was confirmed again after it had been unconfirmed for longer than an edit may take to come into force; the line holds its age, its revisions before and after, and the pulls that failed or brought a stale table meanwhile.")
 )
 
 // Distributor keeps the Holder of a process up to date by pulling from other instances, serves their pulls, and reports
@@ -250,7 +252,7 @@
 
 // distributorMetrics are the metrics of the distribution of the table.
 type distributorMetrics struct {
-	pulls, failures, changes, full, reports *metrics.Counter
+	pulls, failures, changes, full, late, reports *metrics.Counter
 }
 
 func newDistributorMetrics(set *metrics.Set, hd *Holder) distributorMetrics {
@@ -264,6 +266,7 @@
 		failures: counter("pull_failures"),
 		changes:  counter("deltas_taken"),
 		full:     counter("full_deltas_taken"),
+		late:     counter("late_tables"),
 		reports:  counter("reports"),
 	}
 }
--- a/registrar/puller.go
+++ b/registrar/puller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -11,6 +12,7 @@
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
+	"github.com/gypsumhoist/gypsumhoist/ringer"
 )
 
 const (
@@ -22,12 +24,16 @@
 	startupPullTimeout = time.Second
 	// startupPulls is how many sources a starting instance pulls from at the same time.
 	startupPulls = 4
+	// failedPullsMax bounds the failed pulls that an event lists.
+	failedPullsMax = 8
 	// minPullInterval is the least time between the starts of two pulls. pullRetryDelay is the delay after a pull that
 	// failed or brought a stale table, and between two checks while there is nothing to pull.
 	minPullInterval = 50 * time.Millisecond
 	pullRetryDelay  = 250 * time.Millisecond
 	// staleAfter is the age above which a pulled table counts as a failure of its source.
 	staleAfter = 2 * time.Second
+	// applyWithin is how long after its acceptance an edit is to be in force wherever control is in reach.
+	applyWithin = 2 * time.Second
 )
 
 // puller pulls updates from one source at a time, and manages the reporters of its instance.
@@ -36,10 +42,13 @@
 	selector  *sourceSelector
 	sources   []Source
 	reporters map[gypsumhoist.Instance]*reporter
+	// failed holds the sources of the pulls since the last good one, with their outcome.
+	failed *ringer.Ring[string]
 }
 
 func newPuller(ds *Distributor) *puller {
-	return &puller{ds: ds, selector: newSourceSelector(ds.self), reporters: map[gypsumhoist.Instance]*reporter{}}
+	return &puller{ds: ds, selector: newSourceSelector(ds.self), reporters: map[gypsumhoist.Instance]*reporter{},
+		failed: ringer.New[string](failedPullsMax)}
 }
 
 // run pulls until the distributor stops.
@@ -125,7 +134,9 @@
 	if pl.ds.holder.Current() == nil {
 		timeout = fullPullTimeout
 	}
+	ageBefore, revisionBefore := pl.ds.holder.Age(), pl.ds.holder.Current().Revision()
 	age, err := pl.ds.pull(sc, hold, timeout)
+	pl.logLateness(sc, ageBefore+time.Since(began), revisionBefore, age, err)
 	if err != nil || age > staleAfter {
 		pl.selector.recordFailure(sc.Instance, time.Now())
 	} else {
@@ -144,6 +155,26 @@
 	return max(minPullInterval-time.Since(began), 0)
 }
 
+// logLateness logs a pull that confirmed a table after it had been unconfirmed for longer than applyWithin.
+func (pl *puller) logLateness(sc Source, ageBefore time.Duration, revisionBefore uint64, age time.Duration, err error) {
+	switch {
+	case err != nil:
+		pl.failed.PushEvict(string(sc.Instance) + ":no_answer")
+	case age > staleAfter:
+		pl.failed.PushEvict(string(sc.Instance) + ":stale")
+	default:
+		var failed []string
+		for it, ok := pl.failed.Pop(); ok; it, ok = pl.failed.Pop() {
+			failed = append(failed, it)
+		}
+		if ageBefore > applyWithin {
+			pl.ds.metrics.late.Inc()
+			pl.ds.log.Log(eventLate, "age", ageBefore, "revision_before", revisionBefore,
+				"revision", pl.ds.holder.Current().Revision(), "source", sc.Instance, "failed", strings.Join(failed, ","))
+		}
+	}
+}
+
 // reportToParent makes an instance that is not control report to the source that answered, and to no other one.
 func (pl *puller) reportToParent(sc Source) {
 	if pl.ds.self.Control || pl.reporters[sc.Instance] != nil && pl.reporters[sc.Instance].to == sc {
