registrar: test: an edit is in force in time wherever control is in reach (red)

What callers saw: requests handled by a table that an acknowledged edit had replaced more than 2 s before. The test plays edits every 120 ms in a fleet of five control instances and 75 nodes in virtual time, while shares of the nodes are silent or control instances lose their quorum, and fails where a node that is neither, nor was in the last 3 s, lacks an edit for more than 2 s.

--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -40,6 +40,7 @@
 	conns       chan net.Conn
 	down        atomic.Bool
 	noQuorum    atomic.Bool // its log has no quorum
+	silent      atomic.Bool // neither sends nor receives, as a suspended or cut-off machine
 	bytes       atomic.Int64
 }
 
@@ -125,7 +126,7 @@
 func (fl *fleet) isPartitioned(from, to *fleetNode) bool {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	return to.down.Load() || from.down.Load() || fl.partitioned[[2]gypsumhoist.FailureDomain{from.self.Domain, to.self.Domain}]
+	return to.down.Load() || from.down.Load() || to.silent.Load() || from.silent.Load() || fl.partitioned[[2]gypsumhoist.FailureDomain{from.self.Domain, to.self.Domain}]
 }
 
 func (fl *fleet) stop() {
