registrar: a late table is brought up to date by several sources at the same time

What callers saw: requests handled by a table that an acknowledged edit had replaced more than 2 s before, at nodes that nothing was wrong with. Cause: the waits of a node added up. It pulled from one source at a time; a source counted as good until its table was 2 s old, a pull was held for 1 s, a silent source was waited for 1.5 s (5 s without a table), 0.25 s lay between two pulls, and the next source could be as silent or as stale. Change: what counts is the age of the node's own table. From 1.125 s on it pulls from a control instance and another source, and two further ones every 125 ms, without waiting for those before; the held pull is given up once another source was faster. Failed sources are probed beside the held pull. Control confirms after 500 ms (750 before), so that an age of 1.125 s means that something is wrong. Why it works: with five of eleven control instances silent or without a quorum the last of them is passed at 1.75 s, whatever all other sources do. The bound of 'unknown key or row' is the same constant now.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -53,9 +53,6 @@
 	return gypsumhoist.RequestID(id.String())
 }
 
-// missTrustAge is the age up to which a table is trusted not to hold a row or key: an older one may lack it.
-const missTrustAge = 2 * time.Second
-
 // resolve finds the workspace and the row of a caller's request.
 func (fw *Forwarder) resolve(req *http.Request, cl *call) *gypsumhoist.Refusal {
 	key, found := authenticator.ExtractKey(req.Header)
@@ -96,8 +93,8 @@
 // refuseUnknown refuses a request whose key or row the table does not hold; under an old table
 // the reason is table_stale, as a newer one may hold it.
 func (fw *Forwarder) refuseUnknown(rs gypsumhoist.Reason, detail string) *gypsumhoist.Refusal {
-	if fw.holder.Age() > missTrustAge {
-		return gypsumhoist.NotRun(gypsumhoist.ReasonTableStale, missTrustAge, detail+", but the table is old")
+	if fw.holder.Age() > registrar.ApplyWithin {
+		return gypsumhoist.NotRun(gypsumhoist.ReasonTableStale, registrar.ApplyWithin, detail+", but the table is old")
 	}
 	return gypsumhoist.NotRun(rs, 0, detail)
 }
--- a/registrar/distributor.go
+++ b/registrar/distributor.go
@@ -46,7 +46,9 @@
 	eventDeltaUnusable = logger.Define(2404, logger.LevelError, "delta_unusable",
 		"A source sent a delta of the table that this instance can't apply; the source may run a newer version.")
 	eventLate = logger.Define(2405, logger.LevelWarn, "table_late",
-		"The table was confirmed again after it had been unconfirmed for longer than an edit may take to come into force; the line holds its age, its revisions before and after, and the pulls that failed or brought a stale table meanwhile.")
+		"The table is up to date again after an edit may have come into force later than it should; the line holds the age that the table had reached, its revisions before and after, the source that brought it up to date, and the pulls that failed.")
+	eventCaughtUp = logger.Define(2406, logger.LevelInfo, "table_caught_up",
+		"The table was not confirmed for a while and was brought up to date by another source, in time for all edits; the line is that of event 2405.")
 )
 
 // Distributor keeps the Holder of a process up to date by pulling from other instances, serves their pulls, and reports
@@ -252,7 +254,7 @@
 
 // distributorMetrics are the metrics of the distribution of the table.
 type distributorMetrics struct {
-	pulls, failures, changes, full, late, reports *metrics.Counter
+	pulls, failures, changes, full, catchUps, late, reports *metrics.Counter
 }
 
 func newDistributorMetrics(set *metrics.Set, hd *Holder) distributorMetrics {
@@ -266,6 +268,7 @@
 		failures: counter("pull_failures"),
 		changes:  counter("deltas_taken"),
 		full:     counter("full_deltas_taken"),
+		catchUps: counter("catch_ups"),
 		late:     counter("late_tables"),
 		reports:  counter("reports"),
 	}
--- a/registrar/distributor_server.go
+++ b/registrar/distributor_server.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// minRefresh is by how much the local table must be fresher than the requester's to end a hold.
-	minRefresh = 750 * time.Millisecond
+	// minRefresh and minRefreshOnward are by how much the table of a control instance, or of another one, must be fresher than the
+	// requester's to end a hold. The second is less, so that each update of an instance is passed on down the tree.
+	minRefresh       = ApplyWithin / 4
+	minRefreshOnward = ApplyWithin / 8
 	// holdMax bounds how long a pull is held until there is an update.
 	holdMax = time.Second
 	// heldPullsMax bounds the pulls that are held at one instance; further ones are answered at once.
@@ -86,7 +88,7 @@
 	}
 }
 
-// hasUpdate reports whether the requester lacks a revision, or has a table that is older by minRefresh.
+// hasUpdate reports whether the requester lacks a revision, or has a table that is older by minRefresh or minRefreshOnward.
 // Both tables age at the same rate, so only a renewal at this instance can make it true.
 func (ds *Distributor) hasUpdate(rq *registrarpb.PullRequest, began time.Time) bool {
 	if ds.holder.Current().Revision() > rq.GetRevision() {
@@ -100,7 +102,10 @@
 		return true
 	}
 	requesterAge := time.Duration(rq.GetAgeUs())*time.Microsecond + clocker.Since(began)
-	return requesterAge-age >= minRefresh
+	if ds.self.Control {
+		return requesterAge-age >= minRefresh
+	}
+	return requesterAge-age >= minRefreshOnward
 }
 
 func (ds *Distributor) acquireHold() bool {
--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -8,11 +9,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
 )
 
@@ -25,10 +28,36 @@
 	nodes map[netip.AddrPort]*fleetNode
 	order []*fleetNode
 	state *registrar.State
+	logs  logBuffer
 	// partitioned holds the pairs of domains that can't reach each other.
 	partitioned map[[2]gypsumhoist.FailureDomain]bool
 }
 
+// logBuffer holds the lines that the instances of a fleet log.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (lb *logBuffer) Write(data []byte) (int, error) {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return lb.lines.Write(data)
+}
+
+// named returns the lines of an event.
+func (lb *logBuffer) named(event string) []string {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	var list []string
+	for line := range strings.Lines(lb.lines.String()) {
+		if strings.Contains(line, "name="+event+" ") {
+			list = append(list, line)
+		}
+	}
+	return list
+}
+
 type fleetNode struct {
 	fl          *fleet
 	self        registrar.Source
@@ -166,6 +195,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	opts := []registrar.Option{
 		registrar.WithSelf(nd.self), registrar.WithHolder(nd.holder), registrar.WithPeers(nd),
+		registrar.WithLogger(logger.New(&nd.fl.logs, "instance", nd.self.Instance)),
 	}
 	if nd.self.Control {
 		opts = append(opts, registrar.WithBarrier(nd.Barrier), registrar.WithProposer(nd))
--- a/registrar/puller.go
+++ b/registrar/puller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,43 +11,61 @@
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
-	"github.com/gypsumhoist/gypsumhoist/ringer"
 )
 
+// ApplyWithin is how long after its acceptance an edit is in force at each instance that reaches a control instance with a quorum.
+const ApplyWithin = 2 * time.Second
+
 const (
-	// pullMargin is how long after the end of its hold an answer may arrive.
-	pullMargin = 500 * time.Millisecond
-	// fullPullTimeout bounds a pull that must transfer the whole table.
+	// holdMargin is how long after the end of its hold an answer may arrive.
+	holdMargin = 500 * time.Millisecond
+	// fullPullTimeout bounds the held pull of an instance without a table.
 	fullPullTimeout = 5 * time.Second
-	// startupPullTimeout bounds each pull of a starting instance.
+	// startupPullTimeout bounds each pull of an instance without a table that its source does not hold.
 	startupPullTimeout = time.Second
 	// startupPulls is how many sources a starting instance pulls from at the same time.
 	startupPulls = 4
-	// failedPullsMax bounds the failed pulls that an event lists.
-	failedPullsMax = 8
-	// minPullInterval is the least time between the starts of two pulls. pullRetryDelay is the delay after a pull that
-	// failed or brought a stale table, and between two checks while there is nothing to pull.
+	// minPullInterval is the least time between the starts of two held pulls. pullRetryDelay is the delay after one that
+	// failed or brought a late table, and between two checks while there is nothing to pull.
 	minPullInterval = 50 * time.Millisecond
 	pullRetryDelay  = 250 * time.Millisecond
-	// staleAfter is the age above which a pulled table counts as a failure of its source.
-	staleAfter = 2 * time.Second
-	// applyWithin is how long after its acceptance an edit is to be in force wherever control is in reach.
-	applyWithin = 2 * time.Second
 )
 
-// puller pulls updates from one source at a time, and manages the reporters of its instance.
+// puller keeps one pull open at the best source, which holds it until there is an update. Once the table is late, it pulls from
+// further sources at the same time, so that no source can delay an edit. It also manages the reporters of its instance.
 type puller struct {
 	ds        *Distributor
 	selector  *sourceSelector
 	sources   []Source
 	reporters map[gypsumhoist.Instance]*reporter
-	// failed holds the sources of the pulls since the last good one, with their outcome.
-	failed *ringer.Ring[string]
+	results   chan pullResult
+	inFlight  map[gypsumhoist.Instance]*pullInFlight
+	// held is the pull that its source holds; nil if there is none. The next one starts at nextHeld.
+	held     *pullInFlight
+	nextHeld time.Time
+	catchUp  catchUp
+}
+
+// pullInFlight is a pull whose answer is awaited.
+type pullInFlight struct {
+	source Source
+	began  time.Time
+	cancel context.CancelFunc
+}
+
+// pullResult is the end of a pull: the age of the source's table, or an error.
+type pullResult struct {
+	pull *pullInFlight
+	age  time.Duration
+	err  error
 }
 
 func newPuller(ds *Distributor) *puller {
-	return &puller{ds: ds, selector: newSourceSelector(ds.self), reporters: map[gypsumhoist.Instance]*reporter{},
-		failed: ringer.New[string](failedPullsMax)}
+	return &puller{
+		ds: ds, selector: newSourceSelector(ds.self), reporters: map[gypsumhoist.Instance]*reporter{},
+		results: make(chan pullResult), inFlight: map[gypsumhoist.Instance]*pullInFlight{},
+		catchUp: newCatchUp(),
+	}
 }
 
 // run pulls until the distributor stops.
@@ -56,12 +73,7 @@
 	pl.pullAtStartup()
 	for pl.ds.tm.Alive() {
 		pl.updateSources()
-		delay := pullRetryDelay
-		sc, probe, ok := pl.selector.next(time.Now())
-		if ok && !pl.ownLogConfirms() {
-			delay = pl.pullOnce(sc, probe)
-		}
-		pause(pl.ds.tm.Context(context.Background()), delay)
+		pl.await(pl.startPulls(time.Now()))
 	}
 	return nil
 }
@@ -72,7 +84,7 @@
 		return false
 	}
 	confirmed := pl.ds.startedAt.Add(time.Duration(pl.ds.ownConfirmed.Load()))
-	return clocker.Since(confirmed) < staleAfter
+	return clocker.Since(confirmed) < lateAfter
 }
 
 // pullAtStartup pulls from several sources at the same time, so that the instance is ready with their highest revision.
@@ -86,9 +98,10 @@
 	}
 	sources := pl.selector.startupSources(startupPulls)
 	answers := make(chan bool, len(sources))
+	ctx := pl.ds.tm.Context(context.Background())
 	for _, sc := range sources {
 		pl.ds.tm.Go(func() error {
-			_, err := pl.ds.pull(sc, 0, startupPullTimeout)
+			_, err := pl.ds.pull(ctx, sc, 0, startupPullTimeout)
 			answers <- err == nil
 			return nil
 		})
@@ -124,55 +137,104 @@
 	}
 }
 
-// pullOnce pulls from one source, records the result and returns the delay until the next pull.
-func (pl *puller) pullOnce(sc Source, probe bool) time.Duration {
-	began := time.Now()
-	hold, timeout := holdMax, holdMax+pullMargin
-	if probe {
-		hold, timeout = 0, pullMargin
+// startPulls starts the pulls that are due and returns the time until it must be called again if none of them ends before.
+func (pl *puller) startPulls(now time.Time) time.Duration {
+	if pl.ownLogConfirms() {
+		return pullRetryDelay
 	}
-	if pl.ds.holder.Current() == nil {
-		timeout = fullPullTimeout
+	if pl.held == nil && !now.Before(pl.nextHeld) {
+		if sc, ok := pl.selector.next(pl.isInFlight); ok {
+			pl.held = pl.start(sc, holdMax, pl.timeout(holdMax+holdMargin, fullPullTimeout))
+		}
 	}
-	ageBefore, revisionBefore := pl.ds.holder.Age(), pl.ds.holder.Current().Revision()
-	age, err := pl.ds.pull(sc, hold, timeout)
-	pl.logLateness(sc, ageBefore+time.Since(began), revisionBefore, age, err)
-	if err != nil || age > staleAfter {
-		pl.selector.recordFailure(sc.Instance, time.Now())
-	} else {
-		pl.selector.recordSuccess(sc.Instance)
+	if pl.held != nil {
+		if sc, ok := pl.selector.probe(now, pl.held.source.Instance, pl.isInFlight); ok {
+			pl.start(sc, 0, pl.timeout(shortPullTimeout, startupPullTimeout))
+		}
 	}
-	if err != nil {
-		return pullRetryDelay
+	wait := pl.catchUpIfLate(now)
+	if pl.held == nil {
+		wait = min(wait, max(pl.nextHeld.Sub(now), minPullInterval))
 	}
-	pl.markReadyIfSynced()
-	if age <= staleAfter || len(pl.reporters) == 0 {
-		pl.reportToParent(sc)
+	return wait
+}
+
+func (pl *puller) isInFlight(in gypsumhoist.Instance) bool { return pl.inFlight[in] != nil }
+
+// timeout returns the bound of a pull that transfers what has changed, or the whole table.
+func (pl *puller) timeout(changes, whole time.Duration) time.Duration {
+	if pl.ds.holder.Current() == nil {
+		return whole
 	}
-	if age > staleAfter {
-		return pullRetryDelay
+	return changes
+}
+
+// start starts a pull from a source from which none is in flight.
+func (pl *puller) start(sc Source, hold, timeout time.Duration) *pullInFlight {
+	ctx, cancel := context.WithCancel(pl.ds.tm.Context(context.Background()))
+	pf := &pullInFlight{source: sc, began: time.Now(), cancel: cancel}
+	pl.inFlight[sc.Instance] = pf
+	pl.ds.tm.Go(func() error {
+		defer cancel()
+		age, err := pl.ds.pull(ctx, sc, hold, timeout)
+		select {
+		case pl.results <- pullResult{pull: pf, age: age, err: err}:
+		case <-pl.ds.tm.Dying():
+		}
+		return nil
+	})
+	return pf
+}
+
+// await processes the ends of pulls until none is left to process, or waits for one, a new list of sources or the given time.
+func (pl *puller) await(longest time.Duration) {
+	tm := time.NewTimer(longest)
+	defer tm.Stop()
+	select {
+	case re := <-pl.results:
+		pl.finish(re, time.Now())
+	case <-pl.ds.sources.Ready():
+	case <-tm.C:
+	case <-pl.ds.tm.Dying():
 	}
-	return max(minPullInterval-time.Since(began), 0)
 }
 
-// logLateness logs a pull that confirmed a table after it had been unconfirmed for longer than applyWithin.
-func (pl *puller) logLateness(sc Source, ageBefore time.Duration, revisionBefore uint64, age time.Duration, err error) {
-	switch {
-	case err != nil:
-		pl.failed.PushEvict(string(sc.Instance) + ":no_answer")
-	case age > staleAfter:
-		pl.failed.PushEvict(string(sc.Instance) + ":stale")
-	default:
-		var failed []string
-		for it, ok := pl.failed.Pop(); ok; it, ok = pl.failed.Pop() {
-			failed = append(failed, it)
+// finish records the end of a pull. A pull that was given up has been recorded before.
+func (pl *puller) finish(re pullResult, now time.Time) {
+	sc := re.pull.source
+	if pl.inFlight[sc.Instance] != re.pull {
+		return
+	}
+	delete(pl.inFlight, sc.Instance)
+	held := pl.held == re.pull
+	if held {
+		pl.held = nil
+	}
+	if re.err == nil {
+		pl.markReadyIfSynced()
+	}
+	if re.err != nil || re.age > lateAfter {
+		pl.fail(sc, re.err == nil, now)
+		if held {
+			pl.nextHeld = now.Add(pullRetryDelay)
 		}
-		if ageBefore > applyWithin {
-			pl.ds.metrics.late.Inc()
-			pl.ds.log.Log(eventLate, "age", ageBefore, "revision_before", revisionBefore,
-				"revision", pl.ds.holder.Current().Revision(), "source", sc.Instance, "failed", strings.Join(failed, ","))
+		if re.err == nil && len(pl.reporters) == 0 {
+			pl.reportToParent(sc)
 		}
+		return
 	}
+	pl.selector.recordSuccess(sc.Instance)
+	if held {
+		pl.nextHeld = re.pull.began.Add(minPullInterval)
+		pl.reportToParent(sc)
+	}
+	pl.endCatchUp(sc, now)
+}
+
+// fail records that a source gave no answer or, with late, one that did not bring the table up to date.
+func (pl *puller) fail(sc Source, late bool, now time.Time) {
+	pl.selector.recordFailure(sc.Instance, now)
+	pl.catchUp.recordFailure(sc.Instance, late)
 }
 
 // reportToParent makes an instance that is not control report to the source that answered, and to no other one.
@@ -219,8 +281,8 @@
 }
 
 // pull sends one request to a source, applies its delta and confirmation, and returns the age of the source's table.
-func (ds *Distributor) pull(sc Source, hold, timeout time.Duration) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ds.tm.Context(context.Background()), timeout)
+func (ds *Distributor) pull(ctx context.Context, sc Source, hold, timeout time.Duration) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	rq := &registrarpb.PullRequest{
 		Instance: string(ds.self.Instance),
--- a/registrar/source_selector.go
+++ b/registrar/source_selector.go
@@ -6,15 +6,17 @@
 	"github.com/gypsumhoist/gypsumhoist"
 )
 
-// Bounds of the time for which a failed source is skipped while pulls from another one succeed.
+// Bounds of the time after which a failed source is probed again while pulls from another one succeed.
 const (
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 15 * time.Second
+	// probeInterval is the least time between two probes.
+	probeInterval = 2 * time.Second
 )
 
 // sourceBackoff holds the recent failures of a source.
 type sourceBackoff struct {
-	failures int // failed pulls and stale answers since the last success
+	failures int // failed pulls and late tables since the last success
 	until    time.Time
 }
 
@@ -23,8 +25,8 @@
 	self     Source
 	sources  []Source
 	backoffs map[gypsumhoist.Instance]sourceBackoff
-	// lastFailed is true when the latest pull failed or brought a stale table.
-	lastFailed bool
+	// nextProbe is when a failed source may be probed again.
+	nextProbe time.Time
 }
 
 func newSourceSelector(self Source) *sourceSelector {
@@ -43,34 +45,36 @@
 	sl.backoffs = kept
 }
 
-// next returns the source to pull from now. probe is true if the source failed before, so that the pull should be
-// a short probe; ok is false if there is no source.
-//
-// While pulls succeed, that is the best source that is not backed off. After a failure it is the source with the
-// fewest failures, so that all are tried in turn and a single group of failed sources can't take every pull.
-func (sl *sourceSelector) next(now time.Time) (sc Source, probe, ok bool) {
-	best := -1
-	for ix, it := range sl.sources {
-		sb := sl.backoffs[it.Instance]
-		if !sl.lastFailed && sb.failures > 0 && now.Before(sb.until) {
-			continue
+// next returns the source to pull from now, unless there is none: the best of those that have failed least often since they last
+// succeeded, so that all are tried in turn while all fail. Sources that are busy are left out.
+func (sl *sourceSelector) next(busy func(gypsumhoist.Instance) bool) (Source, bool) {
+	sc, _, ok := sl.leastFailed(func(sc Source) bool { return !busy(sc.Instance) })
+	return sc, ok
+}
+
+// leastFailed returns the best of the wanted sources that have failed least often, and how often that is.
+func (sl *sourceSelector) leastFailed(wanted func(Source) bool) (sc Source, failures int, ok bool) {
+	for _, it := range sl.sources {
+		if fl := sl.backoffs[it.Instance].failures; wanted(it) && (!ok || fl < failures) {
+			sc, failures, ok = it, fl, true
 		}
-		if !sl.lastFailed {
-			best = ix
+	}
+	return sc, failures, ok
+}
+
+// probe returns a failed source that is better than the current one and should be tried again now, if there is one.
+func (sl *sourceSelector) probe(now time.Time, current gypsumhoist.Instance, busy func(gypsumhoist.Instance) bool) (Source, bool) {
+	for _, sc := range sl.sources {
+		if sc.Instance == current || now.Before(sl.nextProbe) {
 			break
 		}
-		if best < 0 || sb.failures < sl.backoffs[sl.sources[best].Instance].failures {
-			best = ix
+		sb := sl.backoffs[sc.Instance]
+		if sb.failures > 0 && !now.Before(sb.until) && !busy(sc.Instance) {
+			sl.nextProbe = now.Add(probeInterval)
+			return sc, true
 		}
 	}
-	if best < 0 && len(sl.sources) > 0 {
-		best = 0
-	}
-	if best < 0 {
-		return Source{}, false, false
-	}
-	it := sl.sources[best]
-	return it, sl.backoffs[it.Instance].failures > 0, true
+	return Source{}, false
 }
 
 // startupSources returns up to count sources from which a starting instance pulls at the same time:
@@ -92,16 +96,14 @@
 	return list[:min(count, len(list))]
 }
 
-// recordSuccess records a pull that brought a fresh table.
+// recordSuccess records a pull that brought the table up to date.
 func (sl *sourceSelector) recordSuccess(in gypsumhoist.Instance) {
 	delete(sl.backoffs, in)
-	sl.lastFailed = false
 }
 
-// recordFailure records a pull that failed or brought a stale table.
+// recordFailure records a pull that failed or brought a late table.
 func (sl *sourceSelector) recordFailure(in gypsumhoist.Instance, now time.Time) {
 	sb := sl.backoffs[in]
 	wait := min(minBackoff<<min(sb.failures, 10), maxBackoff)
 	sl.backoffs[in] = sourceBackoff{failures: sb.failures + 1, until: now.Add(wait)}
-	sl.lastFailed = true
 }
