drainer: a planned stop answers what is still in flight at its end

Cause: at the end of stop.longest, or shortly before killed_after, the ports were closed with requests in flight. Change: 250 ms before that, requests in flight are ended and answered: may_have_run, or not_run with a time to come back where nothing was sent. A hop is answered as a broken connection is, so that the entry node may try a request that may be repeated elsewhere. Test, failing before: server/late_request_test.go, two specs (the connection was closed without an answer). A third, that nothing is passed on which comes after the grace, passed before too: net/http closes such a connection unread.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -20,6 +20,8 @@
 		"The planned stop cut no request off.")
 	eventCutOff = logger.Define(2503, logger.LevelError, "requests_cut_off",
 		"Requests were still in flight at the end of stop.longest and were cut off; raise it above the longest deadline in the table.")
+	eventAborted = logger.Define(2504, logger.LevelWarn, "requests_aborted",
+		"Requests were still in flight shortly before the end of stop.longest and were answered without their upstreams; raise it above the longest deadline in the table.")
 )
 
 // Port is a listening server that can be shut down, such as connector.Server.
@@ -34,12 +36,16 @@
 // an upstream must not get new work more than a few seconds after its instance announced that it leaves.
 const maxPeerWork = 1500 * time.Millisecond
 
+// abortMargin is how long before the end of a stop the requests in flight are answered without their upstreams.
+const abortMargin = 250 * time.Millisecond
+
 // Drainer counts the requests in flight of a process and shuts it down gracefully.
 // It is safe for concurrent use. The zero value is not usable; call New.
 type Drainer struct {
 	logger *logger.Logger
 	leave  func(ctx context.Context) error
 	refuse func()
+	abort  func()
 
 	mu       sync.Mutex
 	leaving  bool
@@ -62,9 +68,17 @@
 // during which requests of clients are still accepted and forwarded to other instances.
 func WithRefuse(fn func()) Option { return func(dr *Drainer) { dr.refuse = fn } }
 
+// WithAbort sets the function that ends the requests in flight, so that their clients get an answer. It is called shortly before
+// the context of Drain ends.
+func WithAbort(fn func()) Option { return func(dr *Drainer) { dr.abort = fn } }
+
 // New returns a drainer of a process that is not being stopped.
 func New(opts ...Option) *Drainer {
-	dr := &Drainer{leave: func(context.Context) error { return nil }, refuse: func() {}, idle: make(chan struct{}, 1)}
+	dr := &Drainer{
+		leave:  func(context.Context) error { return nil },
+		refuse: func() {}, abort: func() {},
+		idle: make(chan struct{}, 1),
+	}
 	for _, opt := range opts {
 		opt(dr)
 	}
@@ -96,7 +110,8 @@
 
 // Drain announces to the fleet and to the clients of the ports that the instance leaves, goes on answering for grace,
 // and then shuts the ports down in order.
-// When the context ends, Drain returns its error and requests that are still in flight are cut off.
+// Requests that are still in flight shortly before the context ends are aborted. When it ends, Drain returns its error and those
+// that are left are cut off.
 func (dr *Drainer) Drain(ctx context.Context, grace time.Duration, ports ...Port) error {
 	dr.mu.Lock()
 	dr.leaving = true
@@ -112,8 +127,10 @@
 	sleepUntil(ctx, refuseAt)
 	dr.refuse()
 	sleepUntil(ctx, graceEnd)
+	defer dr.scheduleAbort(ctx)()
 	for _, pt := range ports {
-		if err := pt.Shutdown(ctx); err != nil {
+		// Shutdown polls, and may miss the end of requests that were aborted.
+		if err := pt.Shutdown(ctx); err != nil && dr.InFlight() > 0 {
 			dr.logger.Log(eventCutOff, "in_flight", dr.InFlight(), "err", err)
 			return err
 		}
@@ -126,6 +143,19 @@
 	return nil
 }
 
+// scheduleAbort aborts the requests that are in flight abortMargin before the context ends, and returns a function that prevents it.
+func (dr *Drainer) scheduleAbort(ctx context.Context) (cancel func()) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return func() {}
+	}
+	tm := time.AfterFunc(time.Until(end)-abortMargin, func() {
+		dr.logger.Log(eventAborted, "in_flight", dr.InFlight())
+		dr.abort()
+	})
+	return func() { tm.Stop() }
+}
+
 // sleepUntil sleeps until a time or until the context ends.
 func sleepUntil(ctx context.Context, at time.Time) {
 	timer := time.NewTimer(time.Until(at))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -53,26 +53,29 @@
 // Forwarder forwards calls through one node. It is safe for concurrent use.
 // The zero value is not usable; call New.
 type Forwarder struct {
-	instance       gypsumhoist.Instance
-	holder         *registrar.Holder
-	calls          *authenticator.Calls[*retrier.Budget]
-	router         *router.Router
-	retrier        *retrier.Retrier
-	admitter       *admitter.Admitter
-	forecaster     *admitter.Forecaster
-	spender        Spender
-	claimer        Claimer
-	quarantine     *quarantiner.Quarantiner
-	onBroken       func(ctx context.Context)
-	onDraining     func(Upstream)
-	peers          connector.Peers
-	records        *explainer.Store
-	logger         *logger.Logger
-	observe        func(Observation)
-	bodyBytes      int64
-	firstByte      time.Duration
-	upstream       atomic.Pointer[upstreamSlot]
-	leaving        atomic.Bool
+	instance   gypsumhoist.Instance
+	holder     *registrar.Holder
+	calls      *authenticator.Calls[*retrier.Budget]
+	router     *router.Router
+	retrier    *retrier.Retrier
+	admitter   *admitter.Admitter
+	forecaster *admitter.Forecaster
+	spender    Spender
+	claimer    Claimer
+	quarantine *quarantiner.Quarantiner
+	onBroken   func(ctx context.Context)
+	onDraining func(Upstream)
+	peers      connector.Peers
+	records    *explainer.Store
+	logger     *logger.Logger
+	observe    func(Observation)
+	bodyBytes  int64
+	firstByte  time.Duration
+	upstream   atomic.Pointer[upstreamSlot]
+	leaving    atomic.Bool
+	// aborted ends the requests in flight.
+	aborted        context.Context
+	abort          context.CancelFunc
 	refusingHops   atomic.Bool
 	watch          func(gypsumhoist.Service)
 	meters         meters
@@ -209,6 +212,7 @@
 		onDraining: func(Upstream) {},
 		identify:   func(*http.Request) gypsumhoist.RequestID { return newRequestID() },
 	}
+	fw.aborted, fw.abort = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(fw)
 	}
@@ -231,5 +235,8 @@
 // RefuseHops makes the node refuse all further calls to its upstream, for good: the process is about to exit.
 func (fw *Forwarder) RefuseHops() { fw.refusingHops.Store(true) }
 
+// Abort ends all requests in flight: their callers are answered at once, though their upstreams may still be at work.
+func (fw *Forwarder) Abort() { fw.abort() }
+
 // InFlight returns how many requests are in flight at the node's upstream.
 func (fw *Forwarder) InFlight() int { return fw.calls.Len() }
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -34,6 +34,7 @@
 	left := time.Duration(hop.GetDeadlineUs()) * time.Microsecond
 	ctx, cancel := context.WithTimeout(req.Context(), left)
 	defer cancel()
+	defer context.AfterFunc(fw.aborted, cancel)()
 	rn, rf := fw.runLocally(ctx, hop, fw.outgoing(ctx, req, &call{body: streamBody(req)}))
 	if rf != nil {
 		fw.refuseHop(wr, hop, rf)
@@ -65,6 +66,8 @@
 }
 
 func (fw *Forwarder) refuseHop(wr http.ResponseWriter, hop *forwarderpb.Hop, rf *gypsumhoist.Refusal) {
+	// The node that sent it may try another upstream, as after a connection that broke.
+	rf = fw.ofAborted(rf, gypsumhoist.ReasonConnection)
 	fb := fw.feedback(hop, 0)
 	fb.Refused = true
 	fb.Verdict = uint32(rf.Verdict)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -43,9 +43,13 @@
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), cl.deadline.Add(verdictGrace))
 	defer cancel()
+	defer context.AfterFunc(fw.aborted, cancel)()
 	fw.execute(ctx, wr, req, cl)
 }
 
+// leavingRetryAfter is when a caller whose request came too late for a stopping process should come back to its address.
+const leavingRetryAfter = time.Second
+
 // verdictGrace is how long after a request's deadline its entry node still waits for an answer: the upstream's node knows
 // at the deadline whether the request has run, and the entry node should not guess.
 const verdictGrace = 25 * time.Millisecond
@@ -138,6 +142,7 @@
 
 // refuse answers with a refusal and saves the record.
 func (fw *Forwarder) refuse(wr http.ResponseWriter, cl *call, component string, rf *gypsumhoist.Refusal) {
+	rf = fw.ofAborted(rf, gypsumhoist.ReasonDeadline)
 	cl.record.Note(component, string(rf.Reason), rf.Detail)
 	cl.record.Verdict = rf.Verdict.String()
 	cl.record.Reason = rf.Reason
@@ -151,6 +156,18 @@
 	fw.finish(cl, false)
 }
 
+// ofAborted returns the refusal of a request that Abort may have ended, whose caller is still there; rs is the reason if it may have run.
+func (fw *Forwarder) ofAborted(rf *gypsumhoist.Refusal, rs gypsumhoist.Reason) *gypsumhoist.Refusal {
+	switch {
+	case rf.Reason != gypsumhoist.ReasonCanceled || fw.aborted.Err() == nil:
+		return rf
+	case rf.Verdict == gypsumhoist.VerdictNotRun:
+		return gypsumhoist.NotRun(gypsumhoist.ReasonLeaving, leavingRetryAfter, "the instance is stopping")
+	default:
+		return gypsumhoist.MayHaveRun(rs, "the instance stopped before the upstream answered")
+	}
+}
+
 // finish reports the end of a request to the throttler and the observer and saves the record.
 func (fw *Forwarder) finish(cl *call, succeeded bool) {
 	fw.reportToThrottler(cl)
--- /dev/null
+++ b/server/late_request_test.go
@@ -0,0 +1,92 @@
+package server_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumhoist/gypsumhoist"
+)
+
+// dialCallers opens a connection to an instance's callers' port.
+func (tf *testFleet) dialCallers(at int) net.Conn {
+	cn, err := tf.client.Transport.(*http.Transport).DialContext(context.Background(), "tcp", tf.fleet.InstanceSpecs()[at].Settings.Listen.Callers.String())
+	Expect(err).NotTo(HaveOccurred())
+	return cn
+}
+
+// send sends a request that must run at most once, and returns its response, or nil if the connection ends without one.
+func (tf *testFleet) send(cn net.Conn) *http.Response {
+	defer cn.Close()
+	_, err := fmt.Fprintf(cn, "POST /slips/1 HTTP/1.1\r\nHost: school\r\n%s: %s\r\nContent-Length: 3\r\n\r\nfee", gypsumhoist.HeaderKey, tf.key)
+	Expect(err).NotTo(HaveOccurred())
+	rs, err := http.ReadResponse(bufio.NewReader(cn), nil)
+	if err != nil {
+		return nil
+	}
+	_, err = io.Copy(io.Discard, rs.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return rs
+}
+
+var _ = ginkgo.Describe("a planned stop that ends before requests do", func() {
+	const stopTime = 6 * time.Second
+
+	stop := func(tf *testFleet) <-chan error {
+		for _, name := range tf.fleet.Names() {
+			tf.fleet.Process(name).Upstream.SetSlowdown(1600) // some 8 s a request
+		}
+		stopped := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+			defer cancel()
+			stopped <- tf.fleet.Stop(ctx, tf.fleet.Names()[0])
+		}()
+		return stopped
+	}
+
+	ginkgo.It("answers the requests in flight", inFleet(func(tf *testFleet) {
+		from, stopped := time.Now(), stop(tf)
+		time.Sleep(2 * time.Second)
+		rs := tf.send(tf.dialCallers(0))
+		Expect(rs).NotTo(BeNil(), "the connection was closed without an answer")
+		Expect(time.Since(from)).To(BeNumerically("<", stopTime))
+		Expect(rs.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		Expect(rs.Header.Get(gypsumhoist.HeaderVerdict)).To(Equal(gypsumhoist.VerdictMayHaveRun.String()))
+		Expect(<-stopped).To(Succeed())
+	}))
+
+	ginkgo.It("answers the requests in flight at its upstream for other instances", inFleet(func(tf *testFleet) {
+		tf.fleet.Process(tf.fleet.Names()[1]).Upstream.Stop()
+		tf.fleet.Process(tf.fleet.Names()[2]).Upstream.Stop()
+		time.Sleep(10 * time.Second)
+		from, stopped := time.Now(), stop(tf)
+		time.Sleep(time.Second / 2)
+		rs := tf.send(tf.dialCallers(1))
+		Expect(rs).NotTo(BeNil(), "the connection was closed without an answer")
+		Expect(time.Since(from)).To(BeNumerically("<", stopTime))
+		Expect(rs.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(rs.Header.Get(gypsumhoist.HeaderVerdict)).To(Equal(gypsumhoist.VerdictMayHaveRun.String()))
+		Expect(<-stopped).To(Succeed())
+	}))
+
+	ginkgo.It("passes on no request that comes after its grace", inFleet(func(tf *testFleet) {
+		stopped := stop(tf)
+		time.Sleep(2900 * time.Millisecond)
+		cn := tf.dialCallers(0)
+		time.Sleep(1500 * time.Millisecond)
+		from := time.Now()
+		tf.send(cn)
+		Expect(time.Since(from)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(<-stopped).To(Succeed())
+		time.Sleep(10 * time.Second)
+		Expect(tf.ran).To(BeEmpty())
+	}))
+})
--- a/server/server.go
+++ b/server/server.go
@@ -153,7 +153,8 @@
 		sv.control = newControl(sv, holder)
 	}
 	sv.buildTable(holder)
-	sv.drainer = drainer.New(drainer.WithLogger(sv.logger), drainer.WithLeave(sv.leave), drainer.WithRefuse(sv.refuseHops))
+	sv.drainer = drainer.New(drainer.WithLogger(sv.logger), drainer.WithLeave(sv.leave), drainer.WithRefuse(sv.refuseHops),
+		drainer.WithAbort(sv.abortRequests))
 	if st.Has(loader.RoleNode) {
 		sv.node = newNode(sv, holder)
 	}
@@ -305,6 +306,13 @@
 	}
 }
 
+// abortRequests makes the node answer the requests in flight without their upstreams.
+func (sv *Server) abortRequests() {
+	if sv.node != nil {
+		sv.node.forwarder.Abort()
+	}
+}
+
 // handoverTimeout bounds how long a leaving process waits for others to replace it in its shard groups.
 // Groups in which it is still a member by then repair themselves after it has stopped.
 const handoverTimeout = 5 * time.Second
