connector: a peer's answer that nobody reads is kept up to 128 KiB

What callers saw (report of other operators): bytes without end from a faulty upstream filled the memory of the machine that had called it, and the requests of its other clients ended with it. Cause: heads, trailers and chunks are bounded and bodies are passed on as they come, but the receive buffers of HTTP/2 between nodes had net/http's defaults, 4 MiB for each answer and 1 GiB for each connection: 40 callers that read slowly fill an instance of 184 MB. Change: 128 KiB for each answer, 16 MiB for each connection, so that 128 unread answers of one upstream don't hold up the others. Test, failing before: forwarder 'an upstream's endless answer is not kept by the nodes on its way to callers that don't read it': 47,202,304 bytes for ten callers, fewer than 10,485,760 are allowed and reached now.

--- a/connector/peerpool.go
+++ b/connector/peerpool.go
@@ -12,6 +12,13 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
+// Limits of what a PeerPool keeps of responses whose callers don't read them. The defaults of net/http, 4 MiB and 1 GiB, let a few dozen
+// slow callers of one upstream fill the memory of a small instance.
+const (
+	maxUnreadBytes     = 128 << 10 // of one response
+	maxUnreadConnBytes = 16 << 20  // of all responses on one connection
+)
+
 // PeerPool sends requests to other instances over shared HTTP/2 connections.
 // It uses no proxy, follows no redirect and never sends a request twice.
 // A connection that receives nothing although a request was sent is probed, and closed if the probe gets no response,
@@ -50,6 +57,9 @@
 			SendPingTimeout:  idlePingInterval,
 			PingTimeout:      pp.config.pingTimeout,
 			WriteByteTimeout: pp.config.pingTimeout,
+
+			MaxReceiveBufferPerStream:     maxUnreadBytes,
+			MaxReceiveBufferPerConnection: maxUnreadConnBytes,
 		},
 	}
 	pp.dials = counter(pp.config.metrics, `gypsumhoist_connector_dials_total{kind="peer"}`)
--- a/forwarder/endless_body_test.go
+++ b/forwarder/endless_body_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -60,3 +62,32 @@
 		Expect(rs.StatusCode).To(Equal(http.StatusOK))
 	}))
 })
+
+var _ = Describe("an upstream's endless answer", func() {
+	It("is not kept by the nodes on its way to callers that don't read it", withFleet(func(fl *fleet) {
+		const callers, keptMax = 10, 1 << 20 // bytes for each caller, buffers of connections included
+		var sent atomic.Int64
+		entry := fl.add("roster-1", respond("never"))
+		fl.add("slips-1", func(wr http.ResponseWriter, _ *http.Request) {
+			part := bytes.Repeat([]byte("a"), 16<<10)
+			for {
+				num, err := wr.Write(part)
+				sent.Add(int64(num))
+				if err != nil {
+					return
+				}
+			}
+		})
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips", Deadline: 30 * time.Second})
+		key := fl.grant("kingston")
+		for range callers {
+			cn, err := fl.transport.DialContext(context.Background(), "tcp", netip.AddrPortFrom(entry.addr, portCallers).String())
+			Expect(err).NotTo(HaveOccurred())
+			defer cn.Close()
+			_, err = fmt.Fprintf(cn, "GET /slips HTTP/1.1\r\nHost: kingston\r\n%s: %s\r\n\r\n", gypsumhoist.HeaderKey, key)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(5 * time.Second)
+		Expect(sent.Load()).To(BeNumerically("<", callers*keptMax))
+	}))
+})
