server: a control instance without its disk founds no second log

Cause: the founders of the log were derived from the present seeds at each start with an empty data folder. An instance that lost its disk and started while the others were down had only itself as a seed, founded alone and kept its log. Change: control.join_only, the opposite of the platform's bootstrap. Such an instance asks the instances that settings and gossip name until one knows the log. Settings without it found as before.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -62,6 +62,9 @@
 	Founders []Founder `toml:"founders"`
 	// SeedsFound makes the control instances at peers.seeds the founders when no founders are set.
 	SeedsFound bool `toml:"seeds_found"`
+	// JoinOnly is set once the log exists: an instance with an empty data folder then waits for a member of the log, and never
+	// founds another one.
+	JoinOnly bool `toml:"join_only"`
 	// LossesBorne is the number of control instances that may be lost with their disks at the same time:
 	// twice that number plus one instances vote, and further ones are spares.
 	LossesBorne int `toml:"losses_borne"`
--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 
 // machine is one machine of the deployment: a loopback address with at most one process of the system.
 type machine struct {
+	started bool // at least once
 	fleet   *fleet
 	name    string
 	class   string // "core" or "sidecar"
@@ -100,6 +102,8 @@
 		"{{nodeName}}", ma.name, "{{zone}}", ma.zone, "{{dataDir}}", ma.dataDir, "{{ip}}", ma.ip,
 		"{{listen.control}}", ma.addr(controlPort), "{{listen.outbound}}", ma.addr(outboundPort),
 		"{{faultTolerance.machines}}", "1", "{{bounds.graceS}}", "6",
+		// The platform's bootstrap is true at the first start only.
+		"{{^bootstrap}}true{{/bootstrap}}{{#bootstrap}}false{{/bootstrap}}", strconv.FormatBool(ma.started),
 		// Each machine has a loopback address of its own; here they share one host.
 		"127.0.0.1:7002", ma.ip+":7002",
 	).Replace(string(data)), nil
@@ -140,7 +144,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	ma.process, ma.exited = cmd, make(chan struct{})
+	ma.process, ma.exited, ma.started = cmd, make(chan struct{}), true
 	go func(exited chan struct{}) {
 		_ = cmd.Wait()
 		_ = out.Close()
--- a/server/control.go
+++ b/server/control.go
@@ -23,7 +23,8 @@
 
 // Times and limits of the control role.
 const (
-	formTimeout       = time.Minute // for all founders to come up, before event 1022 is logged
+	formTimeout       = time.Minute // for all founders, or a member to join, to come up before event 1022 is logged
+	joinInterval      = time.Second // between two looks for further members to join
 	reconcileInterval = time.Second
 	maxControlVoters  = 11 // beyond which no further member is added automatically
 	reconcileTimeout  = 5 * time.Second
@@ -33,7 +34,7 @@
 var (
 	eventFormed     = logger.Define(1021, logger.LevelInfo, "control_formed", "This instance has opened its replica of the table's log.")
 	eventFormFailed = logger.Define(1022, logger.LevelError, "control_not_formed",
-		"Not all founders of the table's log came up in time; start every founder that the settings name.")
+		"Not all founders of the table's log came up in time; start every founder that the settings name. With control.join_only, no member of the log was found; start one that still has its disk.")
 	eventReplaced = logger.Define(1023, logger.LevelWarn, "control_member_replaced",
 		"A control instance replaced its own earlier identity, whose disk was lost, or a lost instance of its failure domain in the table's log.")
 	eventMemberRemoved = logger.Define(1025, logger.LevelWarn, "control_seat_taken",
@@ -157,9 +158,25 @@
 func (ct *control) form(self replicator.Member) ([]replicator.Member, error) {
 	ctx, cancel := context.WithTimeout(ct.sv.tmb.Context(nil), formTimeout)
 	defer cancel()
+	if ct.sv.settings.Control.JoinOnly {
+		return nil, ct.awaitGroup(ctx, self)
+	}
 	return ct.sv.host.Form(ctx, controlGroup, self, founders(ct.sv.settings))
 }
 
+// awaitGroup returns once an instance that the settings or gossip name reports that the group exists.
+func (ct *control) awaitGroup(ctx context.Context, self replicator.Member) error {
+	for {
+		once, cancel := context.WithTimeout(ctx, joinInterval)
+		// Without its own address among them, the member founds nothing.
+		_, err := ct.sv.host.Form(once, controlGroup, self, ct.introductionTargets())
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
 func (ct *control) open(self replicator.Member, jn replicator.Journal, initial []replicator.Member) error {
 	opts := []replicator.GroupOption{replicator.WithJournal(jn), replicator.WithSeed(ct.sv.random.Uint64())}
 	if len(initial) > 0 {
--- /dev/null
+++ b/server/lost_disk_test.go
@@ -0,0 +1,52 @@
+package server_test
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/gypsumhoist/gypsumhoist/emulator"
+	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
+)
+
+// loseDisk empties the data folder of an instance that is down. It starts as one that was not told of the others that are down.
+func loseDisk(sp *emulator.InstanceSpec) {
+	Expect(os.RemoveAll(sp.Settings.DataFolder)).To(Succeed())
+	sp.Settings.Control.JoinOnly = true
+	sp.Settings.Peers.Seeds = []netip.AddrPort{sp.Settings.Listen.Peers}
+}
+
+// revision returns the revision that an instance's operator port reports.
+func (tf *testFleet) revision(at int) uint64 {
+	rs, err := tf.fleet.OperatorClient(tf.client, tf.fleet.Names()[at]).ListRows(context.Background(), connect.NewRequest(&registrarpb.ListRowsRequest{}))
+	Expect(err).NotTo(HaveOccurred())
+	return rs.Msg.GetRevision()
+}
+
+var _ = ginkgo.Describe("a control instance that lost its disk", func() {
+	ginkgo.It("founds no second log while the others are down, and joins theirs once they are back", inSeededFleet(func(tf *testFleet) {
+		names := tf.fleet.Names()
+		before := tf.revision(0)
+		for _, name := range names[:3] {
+			tf.fleet.Kill(name)
+		}
+		loseDisk(&tf.fleet.InstanceSpecs()[0])
+		Expect(tf.fleet.StartInstance(names[0])).To(Succeed())
+		time.Sleep(8 * time.Second)
+		Expect(tf.fleet.StartInstance(names[1])).To(Succeed())
+		Expect(tf.fleet.StartInstance(names[2])).To(Succeed())
+		time.Sleep(10 * time.Second)
+		for at := range 3 {
+			Expect(tf.revision(at)).To(BeNumerically(">=", before), string(names[at]))
+		}
+		Expect(tf.voters(1)).To(ConsistOf(names[0], names[1], names[2]))
+		tf.fleet.Kill(names[1])
+		time.Sleep(3 * time.Second)
+		tf.editRow("/rolls")
+	}))
+})
