registrar: a late node knows all control instances

Cause: a node that does not pull from control kept four control instances as fallbacks and had 8 pulls in flight at most, so that with five of eleven without a quorum the first that has one could be out of its list, or its turn come after the first pulls had timed out. Found by reading the sum of the waits again. Change: all control instances are in the list, the further ones last; 12 pulls in flight.

--- a/registrar/catch_up.go
+++ b/registrar/catch_up.go
@@ -19,8 +19,8 @@
 	catchUpIntervalMax = time.Second
 	// shortPullTimeout bounds a pull that its source does not hold.
 	shortPullTimeout = ApplyWithin / 4
-	// pullsInFlightMax bounds the pulls in flight of an instance.
-	pullsInFlightMax = 8
+	// pullsInFlightMax bounds the pulls in flight of an instance: the held one, a probe and those of five steps.
+	pullsInFlightMax = 12
 	// failedPullsMax bounds the failed pulls that an event lists.
 	failedPullsMax = 8
 )
--- a/registrar/late_test.go
+++ b/registrar/late_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,10 +80,11 @@
 
 // isolate takes the quorum of the log from that many control instances, and returns a function that gives it back.
 func (di *disturbance) isolate(count int) func() {
-	first := di.rng.IntN(5)
+	controls := len(slices.DeleteFunc(slices.Clone(di.fl.order), func(nd *fleetNode) bool { return !nd.self.Control }))
+	first := di.rng.IntN(controls)
 	return di.disturb(func(nd *fleetNode) bool {
 		for ix := range count {
-			if nd == di.fl.order[(first+ix)%5] {
+			if nd == di.fl.order[(first+ix)%controls] {
 				return true
 			}
 		}
@@ -106,11 +108,11 @@
 	}
 }
 
-// withControlFleet runs body with a fleet of five control instances and five domains, once each node has a fresh table.
-func withControlFleet(nodesPerDomain int, body func(fl *fleet)) {
+// withControlFleet runs body with a fleet of five domains, once each node has a fresh table.
+func withControlFleet(controls, nodesPerDomain int, body func(fl *fleet)) {
 	synctest.Test(suiteT, func(_ *testing.T) {
 		defer GinkgoRecover()
-		fl := newFleet(5, nodesPerDomain, 5)
+		fl := newFleet(5, nodesPerDomain, controls)
 		defer func() { fl.stop(); time.Sleep(time.Minute) }()
 		Expect(until(5*time.Second, func() bool { return allFresh(fl.order) })).To(BeNumerically(">=", 0))
 		body(fl)
@@ -119,9 +121,9 @@
 
 var _ = Describe("an edit", func() {
 	DescribeTable("is in force in time wherever control is in reach, whichever other instances fail",
-		func(share float64, isolated int) {
+		func(controls int, share float64, isolated int) {
 			for seed := range uint64(2) {
-				withControlFleet(12, func(fl *fleet) {
+				withControlFleet(controls, 12, func(fl *fleet) {
 					di := newDisturbance(fl, seed)
 					di.edit()
 					time.Sleep(time.Duration(di.rng.IntN(1000)) * time.Millisecond)
@@ -137,15 +139,16 @@
 				})
 			}
 		},
-		Entry("one control instance without a quorum", 0.0, 1),
-		Entry("two control instances without a quorum", 0.0, 2),
-		Entry("three nodes in ten silent", 0.3, 0),
-		Entry("half of the nodes silent", 0.5, 0),
-		Entry("four nodes in ten silent, two control instances without a quorum", 0.4, 2),
+		Entry("one control instance without a quorum", 5, 0.0, 1),
+		Entry("two control instances without a quorum", 5, 0.0, 2),
+		Entry("three nodes in ten silent", 5, 0.3, 0),
+		Entry("half of the nodes silent", 5, 0.5, 0),
+		Entry("four nodes in ten silent, two control instances without a quorum", 5, 0.4, 2),
+		Entry("half of the nodes silent, five of eleven control instances without a quorum", 11, 0.5, 5),
 	)
 
 	It("reaches a node without a table while most of its sources are silent", func() {
-		withControlFleet(8, func(fl *fleet) {
+		withControlFleet(5, 8, func(fl *fleet) {
 			di := newDisturbance(fl, 1)
 			for _, nd := range fl.order {
 				if nd.self.Control {
@@ -160,7 +163,7 @@
 	})
 
 	It("is logged with the sources that kept it waiting", func() {
-		withControlFleet(8, func(fl *fleet) {
+		withControlFleet(5, 8, func(fl *fleet) {
 			fl.apply("", newRow("derwent", "/slips"))
 			time.Sleep(time.Second)
 			end := newDisturbance(fl, 1).silence(0.4)
--- a/registrar/puller.go
+++ b/registrar/puller.go
@@ -140,6 +140,10 @@
 // startPulls starts the pulls that are due and returns the time until it must be called again if none of them ends before.
 func (pl *puller) startPulls(now time.Time) time.Duration {
 	if pl.ownLogConfirms() {
+		pl.catchUp.active = false
+		return pullRetryDelay
+	}
+	if len(pl.selector.sources) == 0 {
 		return pullRetryDelay
 	}
 	if pl.held == nil && !now.Before(pl.nextHeld) {
@@ -186,7 +190,7 @@
 	return pf
 }
 
-// await processes the ends of pulls until none is left to process, or waits for one, a new list of sources or the given time.
+// await waits for the end of a pull, which it processes, for a new list of sources or for the given time.
 func (pl *puller) await(longest time.Duration) {
 	tm := time.NewTimer(longest)
 	defer tm.Stop()
--- a/registrar/source.go
+++ b/registrar/source.go
@@ -52,6 +52,8 @@
 		list = append(list, order[(position-rootsPerDomain)/treeFanout], roots[0])
 		list = append(list, interleave(peers, controls[:min(len(controls), peerFallbacksMax)], foreign)...)
 		list = append(list, roots[1:]...)
+		// While others fail, any control instance may be the only one with a quorum in reach.
+		list = append(list, controls...)
 	}
 	return distinctSuspectsLast(list)
 }
