registrar: test: edits are in force in time at nodes that restart

While three nodes in ten are silent and a control instance has no quorum, half of the others restart. Nothing else changes.

--- a/registrar/late_test.go
+++ b/registrar/late_test.go
@@ -78,6 +78,23 @@
 		func(nd *fleetNode, on bool) { nd.silent.Store(on) })
 }
 
+// restart kills a share of the nodes and starts them again after half a second.
+func (di *disturbance) restart(share float64) {
+	var killed []*fleetNode
+	for _, nd := range di.fl.order {
+		if !nd.self.Control && !nd.silent.Load() && di.rng.Float64() < share {
+			killed = append(killed, nd)
+			di.disturbed[nd] = time.Now().Add(time.Hour)
+			nd.stop()
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, nd := range killed {
+		nd.restart()
+		di.disturbed[nd] = time.Now()
+	}
+}
+
 // isolate takes the quorum of the log from that many control instances, and returns a function that gives it back.
 func (di *disturbance) isolate(count int) func() {
 	controls := len(slices.DeleteFunc(slices.Clone(di.fl.order), func(nd *fleetNode) bool { return !nd.self.Control }))
@@ -147,6 +164,25 @@
 		Entry("half of the nodes silent, five of eleven control instances without a quorum", 11, 0.5, 5),
 	)
 
+	It("is in force in time at nodes that restart while others are silent", func() {
+		for seed := range uint64(2) {
+			withControlFleet(5, 10, func(fl *fleet) {
+				di := newDisturbance(fl, seed)
+				di.edit()
+				time.Sleep(time.Second)
+				for range 2 {
+					first, second := di.silence(0.3), di.isolate(1)
+					di.play(300 * time.Millisecond)
+					di.restart(0.5)
+					di.play(3600 * time.Millisecond)
+					first()
+					second()
+				}
+				Expect(di.late).To(BeEmpty(), "seed %d, worst %s", seed, di.worst)
+			})
+		}
+	})
+
 	It("reaches a node without a table while most of its sources are silent", func() {
 		withControlFleet(5, 8, func(fl *fleet) {
 			di := newDisturbance(fl, 1)
