journaler: what a killed process wrote without a sync is synced before it counts

What callers saw: nothing yet; read by the review. A control instance killed between a write and its sync came back with data that the disk did not hold, and the leader counted it towards a majority. A loss of power before the next save could then take back an acknowledged edit, or a vote. A new segment's name was no better: the segment before it was removed while that name was not durable. Cause: Open took what can be read for what is durable; the tests' folder knew only losses of power, after which both are the same. Change: Open syncs the segment and the folder before anything counts or is removed. One sync more at a start.

--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -34,7 +34,7 @@
 	buf      []byte
 }
 
-// Open reads the journal in a folder, truncates an incomplete save, and removes obsolete files that a crash
+// Open reads the journal in a folder, truncates an incomplete save, syncs what it has read, and removes obsolete files that a crash
 // left behind. The error is an *ErrCorrupt if saved data is missing or damaged.
 // The journal owns the folder and closes it, also if Open fails.
 func Open(fd Folder) (*Journal, error) {
@@ -60,9 +60,23 @@
 	if err := jn.openSnapshot(); err != nil {
 		return err
 	}
+	if err := jn.syncOpened(); err != nil {
+		return err
+	}
 	return jn.removeObsolete(names)
 }
 
+// syncOpened makes durable what was read: a process that was killed may have written it without a sync, and what Load returns
+// counts as saved from then on.
+func (jn *Journal) syncOpened() error {
+	if jn.out != nil {
+		if err := jn.out.Sync(); err != nil {
+			return err
+		}
+	}
+	return jn.folder.Sync()
+}
+
 // Identity returns a random text that was generated when the folder was new, for use as Member.Boot:
 // a member that has lost its folder is a different member.
 func (jn *Journal) Identity() string { return jn.identity }
--- a/journaler/journal_test.go
+++ b/journaler/journal_test.go
@@ -106,6 +106,31 @@
 }
 
 var _ = Describe("Journal", func() {
+	It("keeps through a loss of power what it returned after its process was killed, at each operation", func() {
+		const saves = 250
+		reference := newMemory()
+		_, _, err := saveUntilCrash(reference, &batchSource{rnd: rand.New(rand.NewPCG(1, 1))}, saves)
+		Expect(err).To(Succeed())
+		for point := range reference.ops {
+			fd := newMemory()
+			fd.opsLeft = point
+			_, _, err := saveUntilCrash(fd, &batchSource{rnd: rand.New(rand.NewPCG(1, 1))}, saves)
+			Expect(err).To(MatchError(errCrash))
+			fd = fd.afterKill()
+			jn, err := journaler.Open(fd)
+			Expect(err).To(Succeed(), "operation %d", point)
+			returned, err := jn.Load()
+			Expect(err).To(Succeed())
+			identity := jn.Identity()
+			jn, err = journaler.Open(fd.afterCrash(rand.New(rand.NewPCG(uint64(point), 3))))
+			Expect(err).To(Succeed(), "operation %d", point)
+			Expect(jn.Identity()).To(Equal(identity), "operation %d", point)
+			kept, err := jn.Load()
+			Expect(err).To(Succeed())
+			Expect(same(kept, returned)).To(BeTrue(), "operation %d: %d entries of %d kept", point, len(kept.Entries), len(returned.Entries))
+		}
+	})
+
 	It("returns every answered save after a crash at each operation, with torn writes", func() {
 		const saves = 250
 		reference := newMemory()
--- a/journaler/memory_folder_test.go
+++ b/journaler/memory_folder_test.go
@@ -41,6 +41,13 @@
 	return nil
 }
 
+// afterKill returns the folder as the end of its process leaves it: all that was written can be read, though a loss of power may take it.
+func (mf *memoryFolder) afterKill() *memoryFolder {
+	next := newMemory()
+	next.names, next.synced = maps.Clone(mf.names), maps.Clone(mf.synced)
+	return next
+}
+
 // afterCrash returns the folder as a crash leaves it: each name change that was not synced is kept or lost at random,
 // and so are the unsynced tails of files, some of them with damaged bytes.
 func (mf *memoryFolder) afterCrash(rnd *rand.Rand) *memoryFolder {
