server: a member that waits for its log asks past silent seeds

Test: a control instance without its disk joins past six seeds that are cut off; it passed with 1 s too, as silent addresses fail sooner there.

--- a/server/control.go
+++ b/server/control.go
@@ -23,8 +23,9 @@
 
 // Times and limits of the control role.
 const (
-	formTimeout       = time.Minute // for all founders, or a member to join, to come up before event 1022 is logged
-	joinInterval      = time.Second // between two looks for further members to join
+	formTimeout = time.Minute // for all founders, or a member to join, to come up before event 1022 is logged
+	// joinInterval is the time between two looks for further members to join; three silent seeds take 0.9 s of it.
+	joinInterval      = 2 * time.Second
 	reconcileInterval = time.Second
 	maxControlVoters  = 11 // beyond which no further member is added automatically
 	reconcileTimeout  = 5 * time.Second
--- a/server/lost_disk_test.go
+++ b/server/lost_disk_test.go
@@ -50,3 +50,25 @@
 		tf.editRow("/rolls")
 	}))
 })
+
+var _ = ginkgo.Describe("a control instance that lost its disk, with seeds that are gone", func() {
+	ginkgo.It("joins through those that are left", inSeededFleet(func(tf *testFleet) {
+		names := tf.fleet.Names()
+		tf.fleet.Kill(names[0])
+		sp := &tf.fleet.InstanceSpecs()[0]
+		present := sp.Settings.Peers.Seeds
+		loseDisk(sp)
+		sp.Settings.Peers.Seeds = nil
+		for last := range byte(6) {
+			sp.Settings.Peers.Seeds = append(sp.Settings.Peers.Seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 100 + last}), present[0].Port()))
+		}
+		sp.Settings.Peers.Seeds = append(sp.Settings.Peers.Seeds, present...)
+		for _, sd := range sp.Settings.Peers.Seeds[:6] {
+			tf.network.Cut([]netip.Addr{sp.Settings.Listen.Peers.Addr()}, []netip.Addr{sd.Addr()})
+		}
+		Expect(tf.fleet.StartInstance(names[0])).To(Succeed())
+		time.Sleep(5 * time.Second)
+		Expect(tf.voters(1)).To(ConsistOf(names[0], names[1], names[2]))
+		Expect(tf.revision(0)).To(Equal(tf.revision(1)))
+	}))
+})
--- a/server/seeded_test.go
+++ b/server/seeded_test.go
@@ -55,7 +55,7 @@
 			defer ginkgo.GinkgoRecover()
 			nw := netemulator.New()
 			host := func(addr netip.Addr, fd gypsumhoist.FailureDomain) connector.Network { return nw.Host(addr, fd) }
-			tf := &testFleet{ran: map[gypsumhoist.Instance]int{}}
+			tf := &testFleet{ran: map[gypsumhoist.Instance]int{}, network: nw}
 			opts = append(opts, emulator.WithRunObserver(tf.countRun),
 				emulator.WithInstanceNetworks(host), emulator.WithCallerNetwork(host(netip.MustParseAddr("10.9.0.1"), "outside")))
 			tf.fleet = emulator.NewFleet(seededSpecs(folder), opts...)
--- a/server/suite_test.go
+++ b/server/suite_test.go
@@ -48,6 +48,8 @@
 	fleet  *emulator.Fleet
 	client *http.Client
 	key    string
+	// network is set by inSeededFleet.
+	network *netemulator.Network
 
 	mu  sync.Mutex
 	ran map[gypsumhoist.Instance]int // requests by instance
