drainer: a planned stop waits for no instance that is cut off

Callers saw nothing yet: while an instance left beside a cut it took new requests until its very end, and what was in flight by then was ended with the process's time, not before it; one process was killed at the end of its grace time.

Cause: Drain waited for the announcement before it ended the grace, and gossip returns only once it has given up the neighbours that are cut off.

Change: the announcement's context ends with the grace, the rest of the stop goes on beside it, the handover of shard groups comes after it, and the abort is scheduled first. 2504 is logged only if something is in flight.

Failed before: in drainer, accepts no new connection after the grace period where its announcement reaches no one (it was served), aborts the requests in flight before its end (10 s for 9.75 s); in server, ends in time and answers the requests in flight (6.0 s of 6).

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -42,10 +42,11 @@
 // Drainer counts the requests in flight of a process and shuts it down gracefully.
 // It is safe for concurrent use. The zero value is not usable; call New.
 type Drainer struct {
-	logger *logger.Logger
-	leave  func(ctx context.Context) error
-	refuse func()
-	abort  func()
+	logger   *logger.Logger
+	leave    func(ctx context.Context) error
+	handOver func(ctx context.Context) error
+	refuse   func()
+	abort    func()
 
 	mu       sync.Mutex
 	leaving  bool
@@ -60,10 +61,17 @@
 func WithLogger(lg *logger.Logger) Option { return func(dr *Drainer) { dr.logger = lg } }
 
 // WithLeave sets the function that announces to the fleet that the instance leaves; it returns once the announcement has spread.
+// Its context ends with the grace period.
 func WithLeave(fn func(ctx context.Context) error) Option {
 	return func(dr *Drainer) { dr.leave = fn }
 }
 
+// WithHandover sets the function that hands the instance's duties over to others. It is called after the announcement and may
+// go on while the ports are shut down; its context is that of Drain.
+func WithHandover(fn func(ctx context.Context) error) Option {
+	return func(dr *Drainer) { dr.handOver = fn }
+}
+
 // WithRefuse sets the function that makes the process refuse work from other instances. It is called within the grace period,
 // during which requests of clients are still accepted and forwarded to other instances.
 func WithRefuse(fn func()) Option { return func(dr *Drainer) { dr.refuse = fn } }
@@ -75,8 +83,9 @@
 // New returns a drainer of a process that is not being stopped.
 func New(opts ...Option) *Drainer {
 	dr := &Drainer{
-		leave:  func(context.Context) error { return nil },
-		refuse: func() {}, abort: func() {},
+		leave:    func(context.Context) error { return nil },
+		handOver: func(context.Context) error { return nil },
+		refuse:   func() {}, abort: func() {},
 		idle: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -109,7 +118,7 @@
 }
 
 // Drain announces to the fleet and to the clients of the ports that the instance leaves, goes on answering for grace,
-// and then shuts the ports down in order.
+// and then shuts the ports down in order, whether or not the announcement has spread.
 // Requests that are still in flight shortly before the context ends are aborted. When it ends, Drain returns its error and those
 // that are left are cut off.
 func (dr *Drainer) Drain(ctx context.Context, grace time.Duration, ports ...Port) error {
@@ -122,12 +131,17 @@
 	}
 	graceEnd := time.Now().Add(grace)
 	refuseAt := time.Now().Add(min(grace, maxPeerWork))
+	defer dr.scheduleAbort(ctx)()
 	// Instances that the announcement has not reached learn of it when the closed port refuses their requests.
-	_ = dr.leave(ctx)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		dr.announce(ctx, graceEnd)
+	}()
+	defer func() { <-left }()
 	sleepUntil(ctx, refuseAt)
 	dr.refuse()
 	sleepUntil(ctx, graceEnd)
-	defer dr.scheduleAbort(ctx)()
 	for _, pt := range ports {
 		// Shutdown polls, and may miss the end of requests that were aborted.
 		if err := pt.Shutdown(ctx); err != nil && dr.InFlight() > 0 {
@@ -143,6 +157,14 @@
 	return nil
 }
 
+// announce announces that the instance leaves, until the end of the grace period at most, and then hands its duties over.
+func (dr *Drainer) announce(ctx context.Context, graceEnd time.Time) {
+	announcement, cancel := context.WithDeadline(ctx, graceEnd)
+	defer cancel()
+	_ = dr.leave(announcement)
+	_ = dr.handOver(ctx)
+}
+
 // scheduleAbort aborts the requests that are in flight abortMargin before the context ends, and returns a function that prevents it.
 func (dr *Drainer) scheduleAbort(ctx context.Context) (cancel func()) {
 	end, ok := ctx.Deadline()
@@ -150,7 +172,9 @@
 		return func() {}
 	}
 	tm := time.AfterFunc(time.Until(end)-abortMargin, func() {
-		dr.logger.Log(eventAborted, "in_flight", dr.InFlight())
+		if count := dr.InFlight(); count > 0 {
+			dr.logger.Log(eventAborted, "in_flight", count)
+		}
 		dr.abort()
 	})
 	return func() { tm.Stop() }
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -33,13 +33,13 @@
 }
 
 // inBubble runs a spec in virtual time with an instance whose handler answers after the duration given in the query.
-func inBubble(spec func(is *instance)) func() {
+func inBubble(spec func(is *instance), opts ...drainer.Option) func() {
 	return func() {
 		synctest.Test(suite, func(*testing.T) {
 			defer GinkgoRecover()
 			nw := emulator.New()
 			nw.SetDelay("near", "far", time.Millisecond)
-			is := &instance{drainer: drainer.New(), client: nw.Host(netip.MustParseAddr("10.0.0.2"), "far"), stopped: make(chan error, 1)}
+			is := &instance{drainer: drainer.New(opts...), client: nw.Host(netip.MustParseAddr("10.0.0.2"), "far"), stopped: make(chan error, 1)}
 			is.server = connector.NewServer(is.drainer.Count(http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
 				wait, _ := time.ParseDuration(req.URL.RawQuery)
 				time.Sleep(wait)
@@ -146,6 +146,35 @@
 		Expect(time.Since(is.began)).To(BeNumerically("~", 10*time.Second, time.Second))
 		time.Sleep(time.Minute)
 	}))
+	unheard := drainer.WithLeave(func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	It("accepts no new connection after the grace period where its announcement reaches no one", inBubble(func(is *instance) {
+		is.drain(10 * time.Second)
+		time.Sleep(grace + 100*time.Millisecond)
+		_, err := call(is.newClient(false), 0)
+		Expect(err).To(HaveOccurred())
+		Expect(<-is.stopped).To(Succeed())
+		Expect(time.Since(is.began)).To(BeNumerically("~", grace, 200*time.Millisecond))
+	}, unheard))
+	It("hands its duties over after the grace period where its announcement reaches no one", inBubble(func(is *instance) {
+		is.drain(10 * time.Second)
+		Expect(<-is.stopped).To(Succeed())
+		Expect(time.Since(is.began)).To(BeNumerically("~", grace+time.Second, time.Millisecond))
+	}, unheard, drainer.WithHandover(func(ctx context.Context) error {
+		time.Sleep(time.Second)
+		return ctx.Err()
+	})))
+	aborted := make(chan time.Time, 1)
+	It("aborts the requests in flight before its end where its announcement reaches no one", inBubble(func(is *instance) {
+		go func() { _, _ = call(is.newClient(false), time.Minute) }()
+		time.Sleep(time.Second)
+		is.drain(10 * time.Second)
+		Expect(<-is.stopped).To(MatchError(context.DeadlineExceeded))
+		Expect((<-aborted).Sub(is.began)).To(BeNumerically("~", 9750*time.Millisecond, time.Millisecond))
+		time.Sleep(time.Minute)
+	}, unheard, drainer.WithAbort(func() { aborted <- time.Now() })))
 	It("asks clients to go elsewhere, announces the stop to the fleet, and shuts its ports down in order", inBubble(func(*instance) {
 		var steps []string
 		dr := drainer.New(drainer.WithLeave(func(context.Context) error {
--- a/server/late_request_test.go
+++ b/server/late_request_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -36,6 +37,16 @@
 	return rs
 }
 
+// cutOff cuts an instance off from others, but not from callers.
+func (tf *testFleet) cutOff(at int, others ...int) {
+	address := func(ix int) []netip.Addr {
+		return []netip.Addr{tf.fleet.InstanceSpecs()[ix].Settings.Listen.Peers.Addr()}
+	}
+	for _, ix := range others {
+		tf.network.CutBoth(address(at), address(ix))
+	}
+}
+
 // expectMayHaveRun checks that a request got an answer of its node, before the stop that began at the given time ended.
 func expectMayHaveRun(rs *http.Response, status int, from time.Time) {
 	ginkgo.GinkgoHelper()
@@ -45,14 +56,21 @@
 	Expect(rs.Header.Get(gypsumhoist.HeaderVerdict)).To(Equal(gypsumhoist.VerdictMayHaveRun.String()))
 }
 
-// stopTime is how long a stop takes at most in these specs.
-const stopTime = 6 * time.Second
+const (
+	// stopTime is how long a stop waits for requests at most in these specs.
+	stopTime = 6 * time.Second
+	// killMargin is the time from then until the process would be killed.
+	killMargin = 250 * time.Millisecond
+)
 
 var _ = ginkgo.Describe("a planned stop that ends before requests do", func() {
-	stop := func(tf *testFleet) <-chan error {
+	slowDown := func(tf *testFleet) {
 		for _, name := range tf.fleet.Names() {
 			tf.fleet.Process(name).Upstream.SetSlowdown(1600) // some 8 s a request
 		}
+	}
+	stop := func(tf *testFleet) <-chan error {
+		slowDown(tf)
 		stopped := make(chan error, 1)
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), stopTime)
@@ -81,6 +99,18 @@
 		Expect(<-stopped).To(Succeed())
 	}))
 
+	ginkgo.It("ends in time and answers the requests in flight where its announcement reaches no one", inFleet(func(tf *testFleet) {
+		slowDown(tf)
+		answered := make(chan *http.Response, 1)
+		go func() { answered <- tf.send(tf.dialCallers(0)) }()
+		time.Sleep(100 * time.Millisecond)
+		tf.cutOff(0, 1, 2, 3)
+		from, stopped := time.Now(), stop(tf)
+		expectMayHaveRun(<-answered, http.StatusGatewayTimeout, from)
+		Expect(<-stopped).To(Succeed())
+		Expect(time.Since(from)).To(BeNumerically("<", stopTime+killMargin))
+	}))
+
 	ginkgo.It("passes on no request that comes after its grace", inFleet(func(tf *testFleet) {
 		stopped := stop(tf)
 		time.Sleep(2900 * time.Millisecond)
--- a/server/server.go
+++ b/server/server.go
@@ -153,8 +153,8 @@
 		sv.control = newControl(sv, holder)
 	}
 	sv.buildTable(holder)
-	sv.drainer = drainer.New(drainer.WithLogger(sv.logger), drainer.WithLeave(sv.leave), drainer.WithRefuse(sv.refuseHops),
-		drainer.WithAbort(sv.abortRequests))
+	sv.drainer = drainer.New(drainer.WithLogger(sv.logger), drainer.WithLeave(sv.leave), drainer.WithHandover(sv.handOver),
+		drainer.WithRefuse(sv.refuseHops), drainer.WithAbort(sv.abortRequests))
 	if st.Has(loader.RoleNode) {
 		sv.node = newNode(sv, holder)
 	}
@@ -285,18 +285,22 @@
 	return out
 }
 
-// leave announces to the fleet that the instance is about to stop, and hands over its memberships in shard groups.
+// leave announces to the fleet that the instance is about to stop.
 func (sv *Server) leave(ctx context.Context) error {
 	if sv.node != nil {
 		sv.node.leave()
 	}
-	err := sv.gossiper.Leave(ctx)
+	return sv.gossiper.Leave(ctx)
+}
+
+// handOver hands over the instance's memberships in shard groups.
+func (sv *Server) handOver(ctx context.Context) error {
 	if sv.node == nil || sv.node.shards == nil {
-		return err
+		return nil
 	}
-	handover, cancel := context.WithTimeout(ctx, handoverTimeout)
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	return errors.Join(err, sv.node.shards.sharder.Leave(handover))
+	return sv.node.shards.sharder.Leave(ctx)
 }
 
 // refuseHops makes the node refuse calls that other nodes still forward to it.
--- a/server/suite_test.go
+++ b/server/suite_test.go
@@ -45,10 +45,9 @@
 // testFleet is a fleet of three failure domains with an in-memory network, in a synctest bubble:
 // three instances of the service slips, then one of the service roster.
 type testFleet struct {
-	fleet  *emulator.Fleet
-	client *http.Client
-	key    string
-	// network is set by inSeededFleet.
+	fleet   *emulator.Fleet
+	client  *http.Client
+	key     string
 	network *netemulator.Network
 
 	mu  sync.Mutex
@@ -93,7 +92,7 @@
 	address := func(domain, number int) netip.Addr {
 		return netip.AddrFrom4([4]byte{127, 0, byte(domain + 1), byte(number)})
 	}
-	tf := &testFleet{ran: map[gypsumhoist.Instance]int{}}
+	tf := &testFleet{ran: map[gypsumhoist.Instance]int{}, network: nw}
 	tf.fleet = emulator.NewFleet(dp.InstanceSpecs(address, folder), emulator.WithRunObserver(tf.countRun),
 		emulator.WithInstanceNetworks(host), emulator.WithCallerNetwork(host(netip.MustParseAddr("10.9.0.1"), "outside")))
 	tf.client = tf.fleet.Client()
