--- a/server/disk_test.go
+++ b/server/disk_test.go
@@ -14,10 +14,11 @@
 	"github.com/gypsumhoist/gypsumhoist/journaler"
 )
 
-// disks opens the data folders of a fleet and simulates full disks.
+// disks opens the data folders of a fleet and simulates disks that are full or that stall.
 type disks struct {
-	mu   sync.Mutex
-	full map[gypsumhoist.Instance]bool
+	mu      sync.Mutex
+	full    map[gypsumhoist.Instance]bool
+	stalled map[gypsumhoist.Instance]bool
 }
 
 func (dk *disks) open(in gypsumhoist.Instance, path string) (journaler.Folder, error) {
@@ -34,6 +35,25 @@
 	dk.full[in] = full
 }
 
+func (dk *disks) setStalled(in gypsumhoist.Instance, stalled bool) {
+	dk.mu.Lock()
+	defer dk.mu.Unlock()
+	dk.stalled[in] = stalled
+}
+
+// waitWhileStalled returns once the disk of an instance answers.
+func (dk *disks) waitWhileStalled(in gypsumhoist.Instance) {
+	for {
+		dk.mu.Lock()
+		stalled := dk.stalled[in]
+		dk.mu.Unlock()
+		if !stalled {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 func (dk *disks) checkSpace(in gypsumhoist.Instance) error {
 	dk.mu.Lock()
 	defer dk.mu.Unlock()
@@ -69,6 +89,7 @@
 }
 
 func (lf *limitedFile) Write(data []byte) (int, error) {
+	lf.folder.disks.waitWhileStalled(lf.folder.instance)
 	if err := lf.folder.disks.checkSpace(lf.folder.instance); err != nil {
 		return 0, err
 	}
@@ -77,7 +98,7 @@
 
 var _ = ginkgo.Describe("a control instance whose disk was full", func() {
 	ginkgo.It("has its vote again once there is room, so that the next loss is borne", func() {
-		dk := &disks{full: map[gypsumhoist.Instance]bool{}}
+		dk := &disks{full: map[gypsumhoist.Instance]bool{}, stalled: map[gypsumhoist.Instance]bool{}}
 		inSeededFleet(func(tf *testFleet) {
 			names := tf.fleet.Names()
 			dk.setFull(names[1], true)
