server: a stop opens no further port

A node that has no table opens its callers' port after 5 s. If it was told to stop meanwhile, the stop had listed the ports to drain before, so that the new port took requests and was closed with them at the end of the stop.

Test "opens no port for callers where the instance had no table until then": failed before, a connection was accepted one second into the stop.

Change: the list of ports has a lock, and takes no port once a stop has begun.

Ruled out: the upstream's, peers' and operators' ports, which are open before Start returns; requests in flight, which the drainer counts until none is left.

--- a/server/errors.go
+++ b/server/errors.go
@@ -1,6 +1,13 @@
 package server
 
-import "github.com/zeebo/errs/v2"
+import (
+	"errors"
+
+	"github.com/zeebo/errs/v2"
+)
+
+// errStopping is the error of a port that was not opened as a stop had begun.
+var errStopping = errors.New("the process is stopping")
 
 // Tags of the errors that prevent a start or end the process, for use with errors.Is.
 const (
--- a/server/late_request_test.go
+++ b/server/late_request_test.go
@@ -111,6 +111,22 @@
 		Expect(time.Since(from)).To(BeNumerically("<", stopTime+killMargin))
 	}))
 
+	ginkgo.It("opens no port for callers where the instance had no table until then", inFleet(func(tf *testFleet) {
+		name := tf.fleet.Names()[3]
+		tf.fleet.Kill(name)
+		tf.cutOff(3, 0, 1, 2)
+		Expect(tf.fleet.StartInstance(name)).To(Succeed())
+		time.Sleep(4 * time.Second)
+		stopped := make(chan error, 1)
+		go func() { stopped <- tf.fleet.Stop(context.Background(), name) }()
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			_, err := tf.client.Transport.(*http.Transport).DialContext(context.Background(), "tcp", tf.fleet.InstanceSpecs()[3].Settings.Listen.Callers.String())
+			Expect(err).To(HaveOccurred())
+		}
+		Expect(<-stopped).To(Succeed())
+	}))
+
 	ginkgo.It("passes on no request that comes after its grace", inFleet(func(tf *testFleet) {
 		stopped := stop(tf)
 		time.Sleep(2900 * time.Millisecond)
--- a/server/run.go
+++ b/server/run.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"errors"
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist/connector"
@@ -29,7 +30,7 @@
 	}
 }
 
-// openCallers waits for the table and opens the callers' port.
+// openCallers waits for the table and opens the callers' port, unless a stop has begun.
 // It returns false when the process ends or the port can't be opened.
 func (sv *Server) openCallers() bool {
 	timeout := time.NewTimer(readyTimeout)
@@ -44,6 +45,9 @@
 	err := sv.listen("callers", sv.settings.Listen.Callers,
 		sv.drainer.Count(sv.callerMiddleware(sv.node.forwarder.Callers(), sv.node.forwarder.Outbound())),
 		connector.WithPipelining())
+	if errors.Is(err, errStopping) {
+		return true
+	}
 	if err != nil {
 		sv.logger.Log(eventPort, "port", "callers", "err", err)
 		sv.tmb.Kill(err)
--- a/server/server.go
+++ b/server/server.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,9 +55,12 @@
 	control         *control
 	node            *node
 	drainer         *drainer.Drainer
-	ports           []*port
 	opened          atomic.Bool
 
+	portsMu  sync.Mutex
+	ports    []*port
+	stopping bool // no further port is opened
+
 	callerMiddleware   func(callers, nested http.Handler) http.Handler
 	peerMiddleware     func(http.Handler) http.Handler
 	upstreamMiddleware func(announcer.Announcement, http.RoundTripper) http.RoundTripper
@@ -236,11 +240,33 @@
 		connector.WithMaxConns(bd.Connections), connector.WithMaxHeaderBytes(bd.HeaderBytes),
 		connector.WithReadHeaderTimeout(time.Duration(bd.HeaderTime)), connector.WithIdleTimeout(time.Duration(bd.IdleTime)))
 	pt := &port{name: name, server: connector.NewServer(handler, opts...)}
-	sv.ports = append(sv.ports, pt)
+	if !sv.addPort(pt) {
+		_ = ln.Close()
+		return errStopping
+	}
 	sv.tmb.Go(func() error { return sv.loop(pt, func() error { return pt.server.Serve(ln) }) })
 	return nil
 }
 
+// addPort adds a port that is to be drained by a stop, unless one has begun.
+func (sv *Server) addPort(pt *port) bool {
+	sv.portsMu.Lock()
+	defer sv.portsMu.Unlock()
+	if sv.stopping {
+		return false
+	}
+	sv.ports = append(sv.ports, pt)
+	return true
+}
+
+// stopPorts prevents that further ports are opened, and returns those that are open.
+func (sv *Server) stopPorts() []*port {
+	sv.portsMu.Lock()
+	defer sv.portsMu.Unlock()
+	sv.stopping = true
+	return sv.ports
+}
+
 // loop serves one port until it is shut down.
 func (sv *Server) loop(pt *port, serve func() error) error {
 	if err := serve(); err != nil {
@@ -261,7 +287,7 @@
 	grace, longest := sv.settings.Stop.Times()
 	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
-	err := sv.drainer.Drain(ctx, grace, sv.callPorts()...)
+	err := sv.drainer.Drain(ctx, grace, callPorts(sv.stopPorts())...)
 	sv.close()
 	return err
 }
@@ -273,10 +299,10 @@
 }
 
 // callPorts returns the ports that accept calls, the callers' port first.
-func (sv *Server) callPorts() []drainer.Port {
+func callPorts(ports []*port) []drainer.Port {
 	var out []drainer.Port
 	for _, name := range []string{"callers", "upstream"} {
-		for _, pt := range sv.ports {
+		for _, pt := range ports {
 			if pt.name == name {
 				out = append(out, pt.server)
 			}
@@ -330,7 +356,7 @@
 	sv.distributor.Stop()
 	sv.gossiper.Stop()
 	sv.host.Stop()
-	for _, pt := range sv.ports {
+	for _, pt := range sv.stopPorts() {
 		// Remaining connections have no request in flight.
 		_ = pt.server.Close()
 	}
