connector: a body that is read after its answer ends no process

Callers saw connections that closed without an answer: a node's process ended, with all requests of its other callers, when its upstream answered before it had read a long body.

Cause: the upstream's transport goes on reading the body that it sends until that is closed, also after the handler of the request has returned. guardedBody sets a deadline before each read through the response's writer, which net/http clears at the end of an HTTP/2 stream: a nil pointer in a goroutine that nothing recovers.

Change: the body is detached from the writer when the handler returns, under the lock of each use of the writer; later reads fail as after Close.

Ruled out: the body itself, which net/http guards by a lock; other users of the writer, which end with the handler.

Conclusion: the class is a request's resource used after its exchange.

--- a/connector/stall.go
+++ b/connector/stall.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -25,39 +26,40 @@
 		req.Body = http.NoBody
 		req.ContentLength = 0
 	}
-	if req.Body != nil && req.Body != http.NoBody {
-		wr, req = gu.guardBody(wr, req)
+	if req.Body == nil || req.Body == http.NoBody {
+		gu.next.ServeHTTP(wr, req)
+		return
 	}
-	gu.next.ServeHTTP(wr, req)
+	gu.serveBody(wr, req)
 }
 
-// guardBody returns a copy of a request with a guarded body, and the writer of its response. The original request keeps its body:
+// serveBody serves a copy of a request with a guarded body. The original request keeps its body:
 // net/http examines its type to find out how much of it is left to read before a response. On HTTP/1.1 that read
 // is bounded by the deadline, which stays set until the end of the body.
-func (gu *guard) guardBody(wr http.ResponseWriter, req *http.Request) (http.ResponseWriter, *http.Request) {
+func (gu *guard) serveBody(wr http.ResponseWriter, req *http.Request) {
 	gb := &guardedBody{
 		ReadCloser: req.Body, controller: http.NewResponseController(wr),
 		stall: gu.server.config.bodyStall, keepsDeadline: req.ProtoMajor == 1,
 	}
-	if gb.keepsDeadline {
-		// As in Read, a writer that does not support deadlines leaves the body unbounded.
-		_ = gb.controller.SetReadDeadline(time.Now().Add(gb.stall))
-	}
+	defer gb.detach()
 	out := req.WithContext(req.Context())
 	out.Body = gb
-	if !gb.keepsDeadline {
-		return wr, out
+	if gb.keepsDeadline {
+		gb.setReadDeadline(time.Now().Add(gb.stall))
+		wr = &earlyWriter{ResponseWriter: wr, body: gb}
 	}
-	return &earlyWriter{ResponseWriter: wr, body: gb}, out
+	gu.next.ServeHTTP(wr, out)
 }
 
 // guardedBody sets a deadline for each read. It clears the deadline after the read or,
 // where an expired one does no harm (HTTP/1.1), at the end of the body.
+// It may be read by a transport that still sends it after the handler has returned.
 type guardedBody struct {
 	io.ReadCloser
-	controller    *http.ResponseController
 	stall         time.Duration
 	keepsDeadline bool
+	mu            sync.Mutex
+	controller    *http.ResponseController // nil once the handler has returned, as net/http then reuses what it refers to
 	// ended is set once the whole body has been read.
 	ended atomic.Bool
 	// closed is set once the handler needs no more of the body.
@@ -76,18 +78,35 @@
 	if gb.closed.Load() {
 		return 0, http.ErrBodyReadAfterClose
 	}
-	// A writer that does not support deadlines leaves the body unbounded; those of net/http support them.
-	_ = gb.controller.SetReadDeadline(time.Now().Add(gb.stall))
+	gb.setReadDeadline(time.Now().Add(gb.stall))
 	n, err := gb.ReadCloser.Read(buf)
 	if err == io.EOF {
 		gb.ended.Store(true)
 	}
 	if err == io.EOF || err == nil && !gb.keepsDeadline {
-		_ = gb.controller.SetReadDeadline(time.Time{})
+		gb.setReadDeadline(time.Time{})
 	}
 	return n, err
 }
 
+// setReadDeadline has no effect after detach.
+func (gb *guardedBody) setReadDeadline(at time.Time) {
+	gb.mu.Lock()
+	defer gb.mu.Unlock()
+	if gb.controller != nil {
+		// A writer that does not support deadlines leaves the body unbounded; those of net/http support them.
+		_ = gb.controller.SetReadDeadline(at)
+	}
+}
+
+// detach ends the use of the response writer. Later reads fail.
+func (gb *guardedBody) detach() {
+	gb.closed.Store(true)
+	gb.mu.Lock()
+	defer gb.mu.Unlock()
+	gb.controller = nil
+}
+
 // stallConn bounds the time that one write may take.
 type stallConn struct {
 	net.Conn
