quarantiner: a permit without suspects counts as no death

Callers saw nothing yet. An arbiter's process, with all requests of its callers, would have ended when an instance failed that held two permits for which no suspect was named.

Cause: a node whose suspects are lifted between its check and its request names none, and the arbiter accepts that. InstanceFailed sorts the holder's permits by the first suspect of each.

Change: such a permit is revoked and counts as no death, as there is nothing that it could be a death of.

--- a/quarantiner/arbiter.go
+++ b/quarantiner/arbiter.go
@@ -144,14 +144,18 @@
 	}
 }
 
-// revokeHeldBy revokes all permits of a failed instance and returns the deaths that they count as.
+// revokeHeldBy revokes all permits of a failed instance and returns the deaths that they count as. A permit without suspects, whose
+// quarantine was lifted meanwhile, counts as none.
 func (ps *permits) revokeHeldBy(now time.Duration, failed gypsumhoist.Instance) []Death {
 	var out []Death
 	for head, held := range ps.byHead {
-		if held.holder.Instance == failed && now < held.until {
+		if held.holder.Instance != failed || now >= held.until {
+			continue
+		}
+		if len(held.suspects) > 0 {
 			out = append(out, Death{Process: held.holder, Suspects: held.suspects})
-			delete(ps.byHead, head)
 		}
+		delete(ps.byHead, head)
 	}
 	slices.SortFunc(out, func(da, db Death) int {
 		return cmp.Compare(da.Suspects[0].ID().String(), db.Suspects[0].ID().String())
