--- a/connector/late_body_read_test.go
+++ b/connector/late_body_read_test.go
@@ -28,9 +28,9 @@
 	return err
 }
 
-// exchangeWithLateRead sends a request to a server whose handler leaves the body to a goroutine, and returns what that one gets from it
+// exchangeWithLateRead sends a request to a peer whose handler leaves the body to a goroutine, and returns what that one gets from it
 // after the end of the exchange.
-func exchangeWithLateRead(g Gomega, opts ...connector.Option) error {
+func exchangeWithLateRead(g Gomega) error {
 	nw := emulator.New()
 	ln, err := nw.Host(serverAddr, "b").Listen(serverPort)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -40,7 +40,7 @@
 			time.Sleep(time.Second)
 			lateRead <- readLate(req.Body)
 		}()
-	}), opts...)
+	}), connector.WithPeerTraffic())
 	go func() { _ = server.Serve(ln) }()
 	defer server.Close()
 	pool := connector.NewPeerPool(connector.WithNetwork(nw.Host(clientAddr, "a")))
@@ -55,7 +55,7 @@
 
 var _ = Describe("A request body that is still read after the response", func() {
 	It("gives an error and does not end the process", bubble(func(g Gomega) {
-		err := exchangeWithLateRead(g, connector.WithPeerTraffic())
+		err := exchangeWithLateRead(g)
 		g.Expect(err).To(HaveOccurred())
 		g.Expect(err).NotTo(MatchError(errLateReadPanicked))
 	}))
--- a/connector/stall.go
+++ b/connector/stall.go
@@ -59,7 +59,7 @@
 	stall         time.Duration
 	keepsDeadline bool
 	mu            sync.Mutex
-	controller    *http.ResponseController // nil once the handler has returned, as net/http then reuses what it refers to
+	controller    *http.ResponseController // nil once the handler has returned, as net/http then clears what it refers to
 	// ended is set once the whole body has been read.
 	ended atomic.Bool
 	// closed is set once the handler needs no more of the body.
