server: test: a late edit is seen whatever the next revision is

The check of the leader's disk looked at the next revision only, which need not be an edit's; it looks for the first accepted edit that an instance lacks.

--- a/server/leader_loss_test.go
+++ b/server/leader_loss_test.go
@@ -63,8 +63,10 @@
 	leases *leaseWatch
 	rng    *rand.Rand
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// accepted holds when the answers to the accepted edits came, by revision, up to newest.
 	accepted map[uint64]time.Time
+	newest   uint64
 	stopped  bool
 	// disturbed is the instance that is left out of the measurement.
 	disturbed gypsumhoist.Instance
@@ -91,14 +93,29 @@
 		}))
 		cancel()
 		if err == nil && rs.Msg.GetOutcome() == registrarpb.Outcome_OUTCOME_ACCEPTED {
-			ll.mu.Lock()
-			ll.accepted[rs.Msg.GetRevision()] = time.Now()
-			ll.mu.Unlock()
+			ll.accept(rs.Msg.GetRevision())
 		}
 		time.Sleep(editInterval)
 	}
 }
 
+func (ll *leaderLoss) accept(revision uint64) {
+	ll.mu.Lock()
+	defer ll.mu.Unlock()
+	ll.accepted[revision] = time.Now()
+	ll.newest = max(ll.newest, revision)
+}
+
+// missingSince returns for how long a table of the given revision has lacked the next accepted edit; zero if it lacks none. It needs the mutex.
+func (ll *leaderLoss) missingSince(revision uint64) time.Duration {
+	for next := revision + 1; next <= ll.newest; next++ {
+		if at, ok := ll.accepted[next]; ok {
+			return time.Since(at)
+		}
+	}
+	return 0
+}
+
 // check records each instance that lacks an edit longer than applyWithin.
 func (ll *leaderLoss) check() {
 	ll.mu.Lock()
@@ -107,11 +124,7 @@
 		if in == ll.disturbed {
 			continue
 		}
-		at, ok := ll.accepted[ll.fleet.Process(in).Server.Revision()+1]
-		if !ok {
-			continue
-		}
-		since := time.Since(at)
+		since := ll.missingSince(ll.fleet.Process(in).Server.Revision())
 		ll.worst = max(ll.worst, since)
 		if since > applyWithin {
 			ll.late = append(ll.late, fmt.Sprintf("%s lacks an edit after %s", in, since))
@@ -119,6 +132,13 @@
 	}
 }
 
+// stop ends the edits.
+func (ll *leaderLoss) stop() {
+	ll.mu.Lock()
+	defer ll.mu.Unlock()
+	ll.stopped = true
+}
+
 // stallLeader makes the disk of the leader stall and leaves the leader out of the measurement. The function that it returns ends the stall.
 func (ll *leaderLoss) stallLeader() func() {
 	leader := ll.leases.current()
@@ -129,6 +149,7 @@
 	return func() { ll.disks.setStalled(leader, false) }
 }
 
+// watch checks all instances again and again for the given time.
 func (ll *leaderLoss) watch(length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		ll.check()
@@ -152,6 +173,7 @@
 	return specs
 }
 
+// withLeaderLoss runs body with a fleet whose table is edited through each control instance.
 func withLeaderLoss(controls int, seed uint64, body func(ll *leaderLoss)) {
 	folder, err := os.MkdirTemp("", "gypsumhoist-server-")
 	Expect(err).NotTo(HaveOccurred())
@@ -175,11 +197,9 @@
 				editors.Go(func() { ll.edits(sp.Settings.Instance) })
 			}
 		}
+		defer editors.Wait()
+		defer ll.stop()
 		body(ll)
-		ll.mu.Lock()
-		ll.stopped = true
-		ll.mu.Unlock()
-		editors.Wait()
 	})
 }
 
