replicator: the lease is judged at a time after the event came

Callers saw nothing yet. A control instance that led, was suspended and lost its leadership meanwhile could confirm an older table, or return an older sheet, for a request that came while it was suspended.

Cause: the group's goroutine read the clock and then took all queued events at that time. Suspended in between, it judged later reads by the lease as it was before, and a follower's promise to withhold its vote began before the leader's message was sent.

Change: the clock is read after each event is taken.

Ruled out: the table's age and the lease of rows, which are read after the request came.

--- a/replicator/group.go
+++ b/replicator/group.go
@@ -33,6 +33,7 @@
 	timings        Timings
 	snapshotEvery  uint64
 	seed           uint64
+	now            func() time.Time // the clock of the group's goroutine
 
 	tb     tomb.Tomb
 	ring   *ringer.Ring[event]
--- a/replicator/group_run.go
+++ b/replicator/group_run.go
@@ -1,10 +1,6 @@
 package replicator
 
-import (
-	"time"
-
-	"github.com/gypsumhoist/gypsumhoist/clocker"
-)
+import "time"
 
 // run is the group's goroutine.
 func (gp *Group) run() error {
@@ -17,10 +13,10 @@
 		select {
 		case <-dying:
 			dying = nil
-			if !gp.core.Transfer(clocker.Now()) {
+			if !gp.core.Transfer(gp.now()) {
 				return nil
 			}
-			stopAt = clocker.Now().Add(gp.timings.ElectionMin)
+			stopAt = gp.now().Add(gp.timings.ElectionMin)
 		case <-gp.ring.Ready():
 		case <-timer.C:
 		}
@@ -28,7 +24,7 @@
 			gp.host.lg.Log(eventJournalFailed, "group", gp.name, "error", err)
 			return err
 		}
-		now := clocker.Now()
+		now := gp.now()
 		if dying == nil && (gp.core.Role() != RoleLeader || !now.Before(stopAt)) {
 			return nil
 		}
@@ -50,8 +46,8 @@
 // processEvents processes all queued events and the core's output.
 func (gp *Group) processEvents() error {
 	for {
-		now := clocker.Now()
-		more := gp.drain(now)
+		more := gp.drain()
+		now := gp.now()
 		if !now.Before(gp.core.Deadline()) {
 			gp.core.Tick(now)
 		}
@@ -65,11 +61,13 @@
 }
 
 // drain passes queued events to the core and reports whether there may be more. Consecutive commands are
-// proposed in one batch.
-func (gp *Group) drain(now time.Time) bool {
+// proposed in one batch. The clock is read after an event is taken, as the lease must hold when a read arrives, and a promise to a leader
+// must not begin before its message, even if this goroutine is suspended at any point.
+func (gp *Group) drain() bool {
 	var batch []*call
 	for range maxDrainEvents {
 		ev, ok := gp.ring.Pop()
+		now := gp.now()
 		if !ok {
 			gp.propose(now, batch)
 			return false
@@ -89,7 +87,7 @@
 			gp.handleCall(now, ev.call)
 		}
 	}
-	gp.propose(now, batch)
+	gp.propose(gp.now(), batch)
 	return true
 }
 
--- a/replicator/host.go
+++ b/replicator/host.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/replicator/replicatorpb"
@@ -82,7 +83,7 @@
 	gp := &Group{
 		host: hs, name: name, self: self, stateMachine: mc,
 		journal: MemoryJournal{}, timings: DefaultTimings(), snapshotEvery: defaultSnapshotEvery,
-		seed: rand.Uint64(), ring: ringer.New[event](groupRingSize), meters: hs.meters,
+		seed: rand.Uint64(), now: clocker.Now, ring: ringer.New[event](groupRingSize), meters: hs.meters,
 		pending: map[uint64]*call{}, pendingReads: map[uint64]*call{},
 	}
 	for _, op := range opts {
