admitter: a cold upstream gets no more requests a second than its row allows

An upstream that has just started, or has become cold, ends if it gets its full share at once; nothing bounded what it gets, and after a crash it got its share before its first announcement. While the upstream is warming, or after a connection to it failed until it announces itself again, the pace of its own node starts no more than that; the fleet sees it as warming meanwhile. Without a cold_rate nothing changes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -27,6 +27,8 @@
 	eventRateLimit = logger.Define(1404, logger.LevelInfo, "rate_limit_changed",
 		"The upstream names another limit of requests per second in its answers, or none; source tells whether it said so itself "+
 			"or another node had heard it before.")
+	eventColdLimit = logger.Define(1405, logger.LevelInfo, "cold_limit_changed",
+		"The upstream is cold, or may be, and gets no more requests per second than its table allows; \"unknown\" ends this.")
 )
 
 // RateLimitSource is where a node knows the rate limit of its upstream from.
@@ -132,6 +134,22 @@
 	}
 }
 
+// SetColdLimit sets how many requests per second the upstream takes while it is cold; the zero value ends the limit.
+func (ad *Admitter) SetColdLimit(limit gypsumhoist.RateLimit) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	old := ad.core.pace.cold
+	if !ad.core.SetColdLimit(ad.now(), limit) {
+		return
+	}
+	if ad.resume != nil {
+		ad.resume.Stop()
+		ad.resume = nil
+	}
+	ad.deliver()
+	ad.logger.Log(eventColdLimit, "before", old, "cold_limit", limit, "waiting", ad.core.queue.len())
+}
+
 // scheduleResume arms the timer for the next waiting request that the rate limit holds back. It needs the mutex.
 func (ad *Admitter) scheduleResume(now time.Duration) {
 	at := ad.core.NextStart(now)
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -223,12 +223,22 @@
 	return changed
 }
 
+// SetColdLimit sets how many requests per second are started while the upstream is cold, and reports whether that has changed.
+// The zero value ends the limit. It applies besides the rate limit that the upstream names.
+func (co *Core) SetColdLimit(now time.Duration, limit gypsumhoist.RateLimit) bool {
+	changed := co.pace.setCold(now, limit)
+	if changed {
+		co.dispatch(now)
+	}
+	return changed
+}
+
 // Resume starts waiting requests whose time has come under the rate limit.
 func (co *Core) Resume(now time.Duration) { co.dispatch(now) }
 
 // NextStart returns when Resume is due; zero if only the end of a request can start another one.
 func (co *Core) NextStart(now time.Duration) time.Duration {
-	if !co.pace.limit.Limited() || co.queue.len() == 0 || co.inFlight >= co.limit.current() {
+	if !co.pace.effective().Limited() || co.queue.len() == 0 || co.inFlight >= co.limit.current() {
 		return 0
 	}
 	return co.pace.next(now)
--- a/admitter/pace.go
+++ b/admitter/pace.go
@@ -19,7 +19,8 @@
 // pace starts no more requests per second than the upstream takes from all nodes. As all requests to the upstream pass this node,
 // the bound holds for the fleet. It is a token bucket that begins empty.
 type pace struct {
-	limit  gypsumhoist.RateLimit
+	limit  gypsumhoist.RateLimit // named by the upstream
+	cold   gypsumhoist.RateLimit // applies besides limit while the upstream is cold
 	tokens float64
 	at     time.Duration // time of tokens
 	// confirmed is set if the upstream itself has named the limit; unnamed counts the answers in a row that named none since.
@@ -39,22 +40,39 @@
 	return pc.set(now, limit)
 }
 
-// set changes the limit and reports whether it differs from the previous one.
+// set changes the limit that the upstream names and reports whether it differs from the previous one.
 func (pc *pace) set(now time.Duration, limit gypsumhoist.RateLimit) bool {
-	if limit == pc.limit {
+	return pc.apply(now, limit, pc.cold)
+}
+
+// setCold changes the limit of the cold upstream and reports whether it differs from the previous one.
+func (pc *pace) setCold(now time.Duration, cold gypsumhoist.RateLimit) bool {
+	return pc.apply(now, pc.limit, cold)
+}
+
+func (pc *pace) apply(now time.Duration, limit, cold gypsumhoist.RateLimit) bool {
+	if limit == pc.limit && cold == pc.cold {
 		return false
 	}
-	if pc.limit.Limited() {
+	if pc.effective().Limited() {
 		pc.refill(now)
 	} else {
 		pc.tokens, pc.at = 0, now
 	}
-	pc.limit = limit
+	pc.limit, pc.cold = limit, cold
 	pc.tokens = min(pc.tokens, pc.burst())
 	return true
 }
 
-func (pc *pace) perSecond() float64 { return max(pc.limit.PerSecond(), paceMin) }
+// effective returns the lower of the two limits.
+func (pc *pace) effective() gypsumhoist.RateLimit {
+	if pc.cold.Limited() && (!pc.limit.Limited() || pc.cold.PerSecond() < pc.limit.PerSecond()) {
+		return pc.cold
+	}
+	return pc.limit
+}
+
+func (pc *pace) perSecond() float64 { return max(pc.effective().PerSecond(), paceMin) }
 
 func (pc *pace) burst() float64 { return max(1, pc.perSecond()*paceBurst.Seconds()) }
 
@@ -67,7 +85,7 @@
 
 // next returns when the next request may be started, now at the earliest.
 func (pc *pace) next(now time.Duration) time.Duration {
-	if !pc.limit.Limited() {
+	if !pc.effective().Limited() {
 		return now
 	}
 	pc.refill(now)
@@ -80,7 +98,7 @@
 
 // start counts a request that is started.
 func (pc *pace) start(now time.Duration) {
-	if pc.limit.Limited() {
+	if pc.effective().Limited() {
 		pc.refill(now)
 		pc.tokens--
 	}
@@ -88,7 +106,7 @@
 
 // concurrency returns how many requests run at the pace if each takes a service time, one at least; most if there is no limit.
 func (pc *pace) concurrency(most int, serviceTime time.Duration) int {
-	if !pc.limit.Limited() || serviceTime == 0 {
+	if !pc.effective().Limited() || serviceTime == 0 {
 		return most
 	}
 	return max(1, min(most, int(math.Ceil(pc.perSecond()*serviceTime.Seconds()))))
--- a/admitter/shed.go
+++ b/admitter/shed.go
@@ -77,7 +77,7 @@
 func (co *Core) shed(now time.Duration, wt *waiter) *gypsumhoist.Refusal {
 	rk := wt.flow.class.rank
 	detail := fmt.Sprintf("the upstream is at its limit and the queue holds more important work; waited %v, %d of %d running, %d slots, %d waiting, rate limit %v",
-		(now - wt.arrived).Round(time.Millisecond), co.inFlight, co.limit.current(), co.limit.slots, co.queue.len(), co.pace.limit)
+		(now - wt.arrived).Round(time.Millisecond), co.inFlight, co.limit.current(), co.limit.slots, co.queue.len(), co.pace.effective())
 	co.queue.remove(wt)
 	co.cutOff.refused(now, rk)
 	if wt.siblings {
--- a/cmd/gypsumhoist/table.go
+++ b/cmd/gypsumhoist/table.go
@@ -227,6 +227,6 @@
 	return []string{
 		rt.GetWorkspace(), rt.GetRoute(), rt.GetService(), rt.GetOpen(), rt.GetImportance(), rt.GetWeight(),
 		rt.GetRate(), rt.GetBurst(), rt.GetRetries(), rt.GetAttempts(), rt.GetRetryPercent(), rt.GetIdempotent(), rt.GetDeadline(),
-		rt.GetLatency(), rt.GetObjective(), rt.GetCutOff(), strconv.FormatUint(rt.GetNumber(), 10),
+		rt.GetLatency(), rt.GetObjective(), rt.GetCutOff(), rt.GetColdRate(), strconv.FormatUint(rt.GetNumber(), 10),
 	}
 }
--- a/registrar/check.go
+++ b/registrar/check.go
@@ -158,6 +158,11 @@
 		"a percentage from 0 to 100 with up to 3 decimals, such as 99.9",
 		func(rw Row) bool { return rw.Objective >= 0 && rw.Objective <= ObjectiveMax },
 	},
+	{
+		ColumnColdRate,
+		fmt.Sprintf("requests a second that a cold upstream takes, with up to 3 decimals, 0 for no bound, up to %s", RateMax),
+		func(rw Row) bool { return rw.ColdRate >= 0 && rw.ColdRate <= RateMax },
+	},
 	{ColumnCutOff, "serve or refuse", func(rw Row) bool { return rw.CutOff <= CutOffRefuse }},
 }
 
--- a/registrar/column.go
+++ b/registrar/column.go
@@ -21,6 +21,7 @@
 	ColumnLatency      Column = "latency"
 	ColumnObjective    Column = "objective"
 	ColumnCutOff       Column = "cut_off"
+	ColumnColdRate     Column = "cold_rate"
 	ColumnNumber       Column = "number"
 )
 
@@ -29,9 +30,11 @@
 	return []Column{
 		ColumnWorkspace, ColumnRoute, ColumnService, ColumnOpen, ColumnImportance,
 		ColumnWeight, ColumnRate, ColumnBurst, ColumnRetries, ColumnAttempts, ColumnRetryPercent,
-		ColumnIdempotent, ColumnDeadline, ColumnLatency, ColumnObjective, ColumnCutOff, ColumnNumber,
+		ColumnIdempotent, ColumnDeadline, ColumnLatency, ColumnObjective, ColumnCutOff, ColumnColdRate, ColumnNumber,
 	}
 }
 
 // optional reports whether a file may omit the column, as files exported before the column existed do.
-func (cl Column) optional() bool { return cl == ColumnLatency || cl == ColumnAttempts }
+func (cl Column) optional() bool {
+	return cl == ColumnLatency || cl == ColumnAttempts || cl == ColumnColdRate
+}
--- a/registrar/message.go
+++ b/registrar/message.go
@@ -36,6 +36,7 @@
 		LatencyNs:    int64(rw.TargetLatency),
 		Attempts:     int32(rw.Attempts),
 		Split:        splitMessages(rw.Split),
+		ColdRate:     int64(rw.ColdRate),
 	}
 }
 
@@ -80,6 +81,7 @@
 		TargetLatency: time.Duration(ms.GetLatencyNs()),
 		Attempts:      int(ms.GetAttempts()),
 		Split:         splitFromMessages(ms.GetSplit()),
+		ColdRate:      Rate(ms.GetColdRate()),
 	}
 	if err := rw.Check(); err != nil {
 		return nil, err
--- a/registrar/operator_message.go
+++ b/registrar/operator_message.go
@@ -28,6 +28,7 @@
 		Number:       rw.Number,
 		Latency:      rw.Text(ColumnLatency),
 		Attempts:     rw.Text(ColumnAttempts),
+		ColdRate:     rw.Text(ColumnColdRate),
 	}
 }
 
--- a/registrar/row.go
+++ b/registrar/row.go
@@ -88,6 +88,9 @@
 	// Objective is the share of requests that should get a complete answer in time, in thousandths of a percent: 99900 is 99.9%.
 	Objective int
 	CutOff    CutOff
+	// ColdRate limits the requests per second that each upstream of the row's services gets from the whole fleet while it is cold
+	// (thousandths of a request per second); zero sets no such limit. Of several rows of a service the lowest limit holds.
+	ColdRate Rate
 	// Number counts the accepted edits of the row, from 1. An edit names the number it is based on.
 	// A row that is deleted and added again continues the count.
 	Number uint64
--- a/registrar/text.go
+++ b/registrar/text.go
@@ -80,6 +80,8 @@
 		return formatThousandths(int64(rw.Objective))
 	case ColumnCutOff:
 		return rw.CutOff.String()
+	case ColumnColdRate:
+		return rw.ColdRate.String()
 	case ColumnNumber:
 		return strconv.FormatUint(rw.Number, 10)
 	default:
@@ -141,6 +143,8 @@
 		return parseInto(&rw.Objective, txt, allowedValues(cl), parseThousandths[int])
 	case ColumnCutOff:
 		return parseInto(&rw.CutOff, txt, allowedValues(cl), parseCutOff)
+	case ColumnColdRate:
+		return parseInto(&rw.ColdRate, txt, allowedValues(cl), parseThousandths[Rate])
 	case ColumnNumber:
 		return parseInto(&rw.Number, txt, "a whole number from 0", func(tx string) (uint64, error) {
 			return strconv.ParseUint(tx, 10, 64)
--- a/server/node.go
+++ b/server/node.go
@@ -55,6 +55,7 @@
 	// transport sends requests to the announced upstream; drains is set once that has said in an answer that it drains.
 	transport forwarder.Upstream
 	drains    bool
+	cold      coldLimit
 }
 
 func newNode(sv *Server, holder *registrar.Holder) *node {
@@ -164,9 +165,19 @@
 	if !an.SameUpstream(nd.announcement) {
 		nd.replaceUpstream(an)
 	}
+	nd.cold.announced(an)
 	nd.apply(an)
 }
 
+// suspectCold limits the upstream as a cold one until it announces itself again. It may have restarted.
+func (nd *node) suspectCold() {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if nd.announcement.Service != "" && nd.cold.suspect(nd.announcement.Service) {
+		nd.apply(nd.announcement)
+	}
+}
+
 // upstreamDrains applies that an upstream has said in an answer that it drains.
 func (nd *node) upstreamDrains(up forwarder.Upstream) {
 	nd.mu.Lock()
@@ -185,6 +196,8 @@
 		an.State = announcer.StateDraining
 	}
 	nd.announcement = an
+	// Before the slots, which may start waiting requests.
+	nd.admitter.SetColdLimit(nd.cold.limit(an.Service))
 	nd.admitter.SetSlots(an.Slots)
 	nd.forwarder.SetLeaving(an.State == announcer.StateDraining)
 	nd.publishUpstream(an)
@@ -202,7 +215,7 @@
 		nd.forwarder.SetUpstream(netip.AddrPort{}, time.Time{}, nil)
 		return
 	}
-	nd.pool = connector.NewUpstreamPool(an.Address, connector.WithNetwork(nd.sv.network),
+	nd.pool = connector.NewUpstreamPool(an.Address, connector.WithNetwork(&outageDetector{nd.sv.network, nd.suspectCold}),
 		connector.WithResponseCheck(nd.sv.answerCheck), connector.WithIdleTimeout(time.Duration(nd.sv.settings.Upstream.IdleTime)),
 		connector.WithMaxConns(an.Connections), connector.WithLogger(nd.sv.logger), connector.WithMetrics(nd.sv.metrics))
 	nd.pool.Start()
@@ -217,6 +230,9 @@
 		nd.sv.gossiper.Announce(gossiper.Upstream{})
 		return
 	}
+	if an.State == announcer.StateReady && nd.cold.limit(an.Service).Limited() {
+		an.State = announcer.StateWarming
+	}
 	nd.sv.gossiper.Announce(gossiper.Upstream{
 		Service: an.Service, State: gossipState(an.State), Slots: an.Slots, Connections: an.Connections, Started: an.Started,
 	})
@@ -253,6 +269,13 @@
 	if nd.allocation != nil {
 		nd.allocation.setTable(tb)
 	}
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	before := nd.cold.limit(nd.announcement.Service)
+	nd.cold.setTable(tb)
+	if nd.cold.limit(nd.announcement.Service) != before {
+		nd.apply(nd.announcement)
+	}
 }
 
 // watchTable watches the services that the table names, unless there are more than maxTableWatches.
