--- a/router/group.go
+++ b/router/group.go
@@ -29,6 +29,7 @@
 	beliefs      map[gypsumhoist.Instance]belief
 	sorted       []*member // all members by instance, including draining ones
 	reachability prober.Reachability
+	evacuated    []gypsumhoist.FailureDomain
 	tiers        []tier
 	// stopping and silent hold members that get requests only if the tiers can't take them.
 	stopping, silent []*member
@@ -116,7 +117,7 @@
 	gr.buildTiers()
 }
 
-// buildTiers groups the members into tiers by distance, nearest first. It leaves out unreachable and draining members, and
+// buildTiers groups the members into tiers by distance, nearest first. It leaves out evacuated, unreachable and draining members, and
 // keeps silent and stopping ones apart.
 func (gr *Group) buildTiers() {
 	gr.tiers = gr.tiers[:0]
@@ -126,7 +127,7 @@
 	for _, mb := range gr.sorted {
 		grade := gr.reachability.GradeOf(prober.Member{Peer: mb.upstream.Peer, Domain: mb.upstream.Domain})
 		switch {
-		case gr.drains(mb), grade == prober.GradeUnreachable:
+		case gr.evacuates(mb), gr.drains(mb), grade == prober.GradeUnreachable:
 			continue
 		case grade == prober.GradeSilent:
 			gr.silent = append(gr.silent, mb)
@@ -200,11 +201,11 @@
 	return num == 0 || mb.failureRate(now) >= outlierFactor*sum/float64(num)
 }
 
-// eject ejects a member and reports whether it did. It doesn't if the member is stopping, draining or no longer in the group, or
+// eject ejects a member and reports whether it did. It doesn't if the member is stopping, draining, evacuated or no longer in the group, or
 // if too many are ejected.
 func (gr *Group) eject(now time.Duration, mb *member) bool {
 	limit := min(gr.active-1, max(1, int(maxEjectedShare*float64(gr.active))))
-	if mb.upstream.State >= StateStopping || gr.members[mb.upstream.Instance] != mb || len(gr.ejected) >= limit {
+	if mb.upstream.State >= StateStopping || gr.evacuates(mb) || gr.members[mb.upstream.Instance] != mb || len(gr.ejected) >= limit {
 		return false
 	}
 	mb.ejection.begin(now)
--- a/router/router.go
+++ b/router/router.go
@@ -33,10 +33,11 @@
 	logger *logger.Logger
 	seed   func() *rand.Rand
 
-	mu           sync.Mutex // guards delays, reachability and writes to services
+	mu           sync.Mutex // guards delays, reachability, evacuated and writes to services
 	services     atomic.Pointer[map[gypsumhoist.Service]*service]
 	delays       map[gypsumhoist.FailureDomain]time.Duration
 	reachability prober.Reachability
+	evacuated    []gypsumhoist.FailureDomain
 
 	picks, probes, ejections, unrouted *metrics.Counter
 }
@@ -145,6 +146,7 @@
 		sv.group.delays[dm] = delay
 	}
 	sv.group.reachability = rt.reachability
+	sv.group.evacuated = rt.evacuated
 	next := maps.Clone(old)
 	next[name] = sv
 	rt.services.Store(&next)
