registrar: table entries for evacuated failure domains

Each delta carries the whole list once there has been an evacuation, and nothing before; a delta without it, from an older build, leaves the receiver's list as it is.

A fulfilled order is accepted without a change. An order that changes something names the revision of the domain's last change, read after a barrier, so that a copy of it that is delayed can't undo a later order. The command lists the domains that may have upstreams, so that the last one is refused also when two orders race.

--- a/registrar/command.go
+++ b/registrar/command.go
@@ -127,6 +127,8 @@
 		}}
 	case DropDomain:
 		ms.Kind = &registrarpb.Command_DropDomain{DropDomain: &registrarpb.DropDomain{Domain: string(cd.Domain)}}
+	case EvacuateDomain:
+		ms.Kind = &registrarpb.Command_EvacuateDomain{EvacuateDomain: evacuateMessage(cd)}
 	case Replace:
 		ms.Kind = &registrarpb.Command_Replace{Replace: replaceMessage(cd)}
 	default:
--- a/registrar/contents.go
+++ b/registrar/contents.go
@@ -80,6 +80,7 @@
 	placements  map[placementName]*placementEntry
 	controls    map[gypsumhoist.Instance]*controlEntry
 	tombstones  map[entryName]tombstone
+	evacuations evacuations
 }
 
 func newContents() *contents {
@@ -102,6 +103,7 @@
 		placements:  maps.Clone(cs.placements),
 		controls:    maps.Clone(cs.controls),
 		tombstones:  maps.Clone(cs.tombstones),
+		evacuations: cs.evacuations.clone(),
 	}
 }
 
--- a/registrar/delta.go
+++ b/registrar/delta.go
@@ -36,6 +36,7 @@
 			})
 		}
 	}
+	dl.Evacuations = cs.evacuations.message()
 	return dl
 }
 
@@ -58,6 +59,7 @@
 // withDelta returns the contents after applying a delta. The receiver is not changed.
 func (cs *contents) withDelta(dl *registrarpb.Delta) (*contents, error) {
 	next := newContents()
+	next.evacuations = cs.evacuations.clone()
 	if !dl.GetFull() {
 		if dl.GetFrom() != cs.revision || dl.GetRevision() < cs.revision {
 			return nil, fmt.Errorf("delta from revision %d to %d does not apply to revision %d",
@@ -111,6 +113,7 @@
 		}
 		cs.putControl(ce)
 	}
+	cs.evacuations.merge(dl.GetEvacuations())
 	return nil
 }
 
--- a/registrar/distributor.go
+++ b/registrar/distributor.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"gopkg.in/tomb.v2"
 
+	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/logger"
@@ -51,6 +52,14 @@
 		"The table was not confirmed for a while and was brought up to date by another source, in time for all edits; the line is that of event 2405.")
 )
 
+// Log events of evacuations, at each instance.
+var (
+	eventEvacuated = logger.Define(2407, logger.LevelInfo, "domain_evacuated",
+		"The table in force at this instance evacuates a failure domain: from now on it sends no new request to upstreams there.")
+	eventRestored = logger.Define(2408, logger.LevelInfo, "domain_restored",
+		"The table in force at this instance no longer evacuates a failure domain; its upstreams get requests again.")
+)
+
 // Distributor keeps the Holder of a process up to date by pulling from other instances, serves their pulls, and reports
 // to control which revision is in force.
 // Every process has one. It is safe for concurrent use.
@@ -95,7 +104,7 @@
 		tracker: newRevisionTracker(op.self, time.Now()),
 		wake:    make(chan struct{}),
 	}
-	ds.metrics = newDistributorMetrics(op.set, op.holder)
+	ds.metrics = newDistributorMetrics(op.set, op.holder, op.self.Domain)
 	return ds
 }
 
@@ -170,9 +179,11 @@
 	tick := time.NewTicker(expireInterval)
 	defer tick.Stop()
 	stale := false
+	var evacuated []gypsumhoist.FailureDomain
 	for {
 		changed := ds.holder.Changed()
 		ds.confirmOwnRevision()
+		evacuated = ds.logEvacuations(evacuated)
 		select {
 		case <-changed:
 		case <-tick.C:
@@ -201,6 +212,23 @@
 	}
 }
 
+// logEvacuations logs which failure domains were evacuated or restored since the last call, and returns those that are evacuated.
+func (ds *Distributor) logEvacuations(before []gypsumhoist.FailureDomain) []gypsumhoist.FailureDomain {
+	tb := ds.holder.Current()
+	now := tb.Evacuated()
+	for _, dm := range now {
+		if !slices.Contains(before, dm) {
+			ds.log.Log(eventEvacuated, "failure_domain", dm, "own", dm == ds.self.Domain, "revision", tb.Revision())
+		}
+	}
+	for _, dm := range before {
+		if !slices.Contains(now, dm) {
+			ds.log.Log(eventRestored, "failure_domain", dm, "own", dm == ds.self.Domain, "revision", tb.Revision())
+		}
+	}
+	return now
+}
+
 func (ds *Distributor) logStaleness(before bool) bool {
 	age := ds.holder.Age()
 	now := age > CutOffLease && age != AgeUnknown
@@ -257,11 +285,18 @@
 	pulls, failures, changes, full, catchUps, late, reports *metrics.Counter
 }
 
-func newDistributorMetrics(set *metrics.Set, hd *Holder) distributorMetrics {
+func newDistributorMetrics(set *metrics.Set, hd *Holder, own gypsumhoist.FailureDomain) distributorMetrics {
 	counter := func(what string) *metrics.Counter {
 		return set.GetOrCreateCounter(fmt.Sprintf("gypsumhoist_registrar_%s_total", what))
 	}
 	set.GetOrCreateGauge("gypsumhoist_registrar_revision", func() float64 { return float64(hd.Current().Revision()) })
+	set.GetOrCreateGauge("gypsumhoist_registrar_evacuated_domains", func() float64 { return float64(len(hd.Current().Evacuated())) })
+	set.GetOrCreateGauge("gypsumhoist_registrar_own_domain_evacuated", func() float64 {
+		if slices.Contains(hd.Current().Evacuated(), own) {
+			return 1
+		}
+		return 0
+	})
 	set.GetOrCreateGauge("gypsumhoist_registrar_table_age_seconds", func() float64 { return hd.Age().Seconds() })
 	return distributorMetrics{
 		pulls:    counter("pulls"),
--- a/registrar/export_test.go
+++ b/registrar/export_test.go
@@ -92,3 +92,18 @@
 	got, err = old.withDelta(dl)
 	return got, dl.GetFull(), err
 }
+
+// ApplyOlderDelta is ApplyDelta with a delta as a build without evacuations sends it.
+func ApplyOlderDelta(old, next *Table) (*Table, error) {
+	dl := next.deltaFrom(old.Revision())
+	dl.Evacuations = nil
+	return old.withDelta(dl)
+}
+
+// EvacuationsSize returns by how many bytes the list of evacuations makes the delta from a revision to the table longer.
+func EvacuationsSize(tb *Table, from uint64) int {
+	dl := tb.deltaFrom(from)
+	with := len(marshal(dl))
+	dl.Evacuations = nil
+	return with - len(marshal(dl))
+}
--- a/registrar/operator_server.go
+++ b/registrar/operator_server.go
@@ -196,6 +196,9 @@
 				Instance: string(cm.Instance), Domain: string(cm.Domain), Peer: cm.Peer.String(), Voter: cm.Voter,
 			})
 		}
+		for _, dm := range tb.Evacuated() {
+			answer.Evacuated = append(answer.Evacuated, string(dm))
+		}
 		if newest && sv.ops.distributor != nil {
 			nf := sv.ops.distributor.InForce(Change{Revision: tb.Revision(), Accepted: time.Now()})
 			answer.InForce = inForceMessage(nf)
--- a/registrar/operator_service.go
+++ b/registrar/operator_service.go
@@ -65,6 +65,8 @@
 	sheet       func() Sheet
 	log         *logger.Logger
 	controls    atomic.Pointer[[]Source]
+	domains     atomic.Pointer[fleetDomains]
+	created     time.Time
 }
 
 // NewOperatorService returns the operators' service. Without WithProposer it forwards all requests to the control instances
@@ -79,11 +81,15 @@
 		distributor: op.distributor,
 		sheet:       op.sheet,
 		log:         op.log,
+		created:     time.Now(),
 	}
 }
 
-// SetSources replaces the list of other instances, of which only the control instances are used.
+// SetSources replaces the list of other instances: requests are forwarded to the control instances among them, and their failure
+// domains are those that can be evacuated.
 func (ops *OperatorService) SetSources(sources []Source) {
+	domains := fleetDomainsOf(ops.self, sources)
+	ops.domains.Store(&domains)
 	controls := rendezvous(ops.self.Instance, sources, func(sc Source) bool {
 		return sc.Control && sc.Instance != ops.self.Instance
 	})
@@ -123,6 +129,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return ops.editAnswer(ctx, id, waitMS, as), nil
+}
+
+// editAnswer returns an answer of the log for operators. If it was accepted, that says where the change is in force, after waiting for up to waitMS.
+func (ops *OperatorService) editAnswer(ctx context.Context, id EditID, waitMS uint32, as Answer) *registrarpb.EditAnswer {
 	ms := &registrarpb.EditAnswer{
 		Outcome:   registrarpb.Outcome(as.Outcome),
 		EditId:    string(id),
@@ -140,7 +151,7 @@
 		ms.InForce = inForceMessage(nf)
 		ms.Text += " " + nf.Text()
 	}
-	return ms, nil
+	return ms
 }
 
 func (ops *OperatorService) waitInForce(ctx context.Context, waitMS uint32, cg Change) InForce {
--- a/registrar/registrarpb/office.connect.go
+++ b/registrar/registrarpb/office.connect.go
@@ -53,6 +53,8 @@
 	OfficeWithdrawKeyProcedure = "/gypsumhoist.registrar.v1.Office/WithdrawKey"
 	// OfficeDropDomainProcedure is the fully-qualified name of the Office's DropDomain RPC.
 	OfficeDropDomainProcedure = "/gypsumhoist.registrar.v1.Office/DropDomain"
+	// OfficeEvacuateDomainProcedure is the fully-qualified name of the Office's EvacuateDomain RPC.
+	OfficeEvacuateDomainProcedure = "/gypsumhoist.registrar.v1.Office/EvacuateDomain"
 	// OfficeListKeysProcedure is the fully-qualified name of the Office's ListKeys RPC.
 	OfficeListKeysProcedure = "/gypsumhoist.registrar.v1.Office/ListKeys"
 	// OfficeStatusProcedure is the fully-qualified name of the Office's Status RPC.
@@ -74,6 +76,8 @@
 	WithdrawKey(context.Context, *connect.Request[WithdrawKeyRequest]) (*connect.Response[EditAnswer], error)
 	// DropDomain removes the placements of a permanently decommissioned failure domain.
 	DropDomain(context.Context, *connect.Request[DropDomainRequest]) (*connect.Response[EditAnswer], error)
+	// EvacuateDomain makes all nodes send no new request to upstreams of a failure domain, or ends that.
+	EvacuateDomain(context.Context, *connect.Request[EvacuateDomainRequest]) (*connect.Response[EditAnswer], error)
 	ListKeys(context.Context, *connect.Request[ListKeysRequest]) (*connect.Response[ListKeysAnswer], error)
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusAnswer], error)
 }
@@ -149,6 +153,12 @@
 			connect.WithSchema(officeMethods.ByName("DropDomain")),
 			connect.WithClientOptions(opts...),
 		),
+		evacuateDomain: connect.NewClient[EvacuateDomainRequest, EditAnswer](
+			httpClient,
+			baseURL+OfficeEvacuateDomainProcedure,
+			connect.WithSchema(officeMethods.ByName("EvacuateDomain")),
+			connect.WithClientOptions(opts...),
+		),
 		listKeys: connect.NewClient[ListKeysRequest, ListKeysAnswer](
 			httpClient,
 			baseURL+OfficeListKeysProcedure,
@@ -166,18 +176,19 @@
 
 // officeClient implements OfficeClient.
 type officeClient struct {
-	editRow     *connect.Client[EditRowRequest, EditAnswer]
-	deleteRow   *connect.Client[DeleteRowRequest, EditAnswer]
-	listRows    *connect.Client[ListRowsRequest, ListRowsAnswer]
-	export      *connect.Client[ExportRequest, ExportAnswer]
-	_import     *connect.Client[ImportRequest, EditAnswer]
-	replace     *connect.Client[ReplaceRequest, EditAnswer]
-	readSheet   *connect.Client[ReadSheetRequest, ReadSheetAnswer]
-	grantKey    *connect.Client[GrantKeyRequest, EditAnswer]
-	withdrawKey *connect.Client[WithdrawKeyRequest, EditAnswer]
-	dropDomain  *connect.Client[DropDomainRequest, EditAnswer]
-	listKeys    *connect.Client[ListKeysRequest, ListKeysAnswer]
-	status      *connect.Client[StatusRequest, StatusAnswer]
+	editRow        *connect.Client[EditRowRequest, EditAnswer]
+	deleteRow      *connect.Client[DeleteRowRequest, EditAnswer]
+	listRows       *connect.Client[ListRowsRequest, ListRowsAnswer]
+	export         *connect.Client[ExportRequest, ExportAnswer]
+	_import        *connect.Client[ImportRequest, EditAnswer]
+	replace        *connect.Client[ReplaceRequest, EditAnswer]
+	readSheet      *connect.Client[ReadSheetRequest, ReadSheetAnswer]
+	grantKey       *connect.Client[GrantKeyRequest, EditAnswer]
+	withdrawKey    *connect.Client[WithdrawKeyRequest, EditAnswer]
+	dropDomain     *connect.Client[DropDomainRequest, EditAnswer]
+	evacuateDomain *connect.Client[EvacuateDomainRequest, EditAnswer]
+	listKeys       *connect.Client[ListKeysRequest, ListKeysAnswer]
+	status         *connect.Client[StatusRequest, StatusAnswer]
 }
 
 // EditRow calls gypsumhoist.registrar.v1.Office.EditRow.
@@ -230,6 +241,11 @@
 	return c.dropDomain.CallUnary(ctx, req)
 }
 
+// EvacuateDomain calls gypsumhoist.registrar.v1.Office.EvacuateDomain.
+func (c *officeClient) EvacuateDomain(ctx context.Context, req *connect.Request[EvacuateDomainRequest]) (*connect.Response[EditAnswer], error) {
+	return c.evacuateDomain.CallUnary(ctx, req)
+}
+
 // ListKeys calls gypsumhoist.registrar.v1.Office.ListKeys.
 func (c *officeClient) ListKeys(ctx context.Context, req *connect.Request[ListKeysRequest]) (*connect.Response[ListKeysAnswer], error) {
 	return c.listKeys.CallUnary(ctx, req)
@@ -255,6 +271,8 @@
 	WithdrawKey(context.Context, *connect.Request[WithdrawKeyRequest]) (*connect.Response[EditAnswer], error)
 	// DropDomain removes the placements of a permanently decommissioned failure domain.
 	DropDomain(context.Context, *connect.Request[DropDomainRequest]) (*connect.Response[EditAnswer], error)
+	// EvacuateDomain makes all nodes send no new request to upstreams of a failure domain, or ends that.
+	EvacuateDomain(context.Context, *connect.Request[EvacuateDomainRequest]) (*connect.Response[EditAnswer], error)
 	ListKeys(context.Context, *connect.Request[ListKeysRequest]) (*connect.Response[ListKeysAnswer], error)
 	Status(context.Context, *connect.Request[StatusRequest]) (*connect.Response[StatusAnswer], error)
 }
@@ -326,6 +344,12 @@
 		connect.WithSchema(officeMethods.ByName("DropDomain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	officeEvacuateDomainHandler := connect.NewUnaryHandler(
+		OfficeEvacuateDomainProcedure,
+		svc.EvacuateDomain,
+		connect.WithSchema(officeMethods.ByName("EvacuateDomain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	officeListKeysHandler := connect.NewUnaryHandler(
 		OfficeListKeysProcedure,
 		svc.ListKeys,
@@ -360,6 +384,8 @@
 			officeWithdrawKeyHandler.ServeHTTP(w, r)
 		case OfficeDropDomainProcedure:
 			officeDropDomainHandler.ServeHTTP(w, r)
+		case OfficeEvacuateDomainProcedure:
+			officeEvacuateDomainHandler.ServeHTTP(w, r)
 		case OfficeListKeysProcedure:
 			officeListKeysHandler.ServeHTTP(w, r)
 		case OfficeStatusProcedure:
@@ -413,6 +439,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gypsumhoist.registrar.v1.Office.DropDomain is not implemented"))
 }
 
+func (UnimplementedOfficeHandler) EvacuateDomain(context.Context, *connect.Request[EvacuateDomainRequest]) (*connect.Response[EditAnswer], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gypsumhoist.registrar.v1.Office.EvacuateDomain is not implemented"))
+}
+
 func (UnimplementedOfficeHandler) ListKeys(context.Context, *connect.Request[ListKeysRequest]) (*connect.Response[ListKeysAnswer], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("gypsumhoist.registrar.v1.Office.ListKeys is not implemented"))
 }
--- a/registrar/source.go
+++ b/registrar/source.go
@@ -29,6 +29,8 @@
 	Peer netip.AddrPort
 	// Control is true for instances with the control role, which hold the replicated log.
 	Control bool
+	// ControlOnly is true for instances without the node role, which have no upstream.
+	ControlOnly bool
 	// Suspect ranks the source after all others, as it may be down. It must confirm revisions all the same.
 	Suspect bool
 }
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -108,6 +108,8 @@
 		return st.setControl(kd.SetControl)
 	case *registrarpb.Command_DropDomain:
 		return st.dropDomain(gypsumhoist.FailureDomain(kd.DropDomain.GetDomain()))
+	case *registrarpb.Command_EvacuateDomain:
+		return st.evacuateDomain(kd.EvacuateDomain)
 	case *registrarpb.Command_Replace:
 		return st.replace(kd.Replace, proposed)
 	default:
--- a/registrar/table.go
+++ b/registrar/table.go
@@ -15,6 +15,7 @@
 	Grants     []KeyGrant
 	Placements []Placement
 	Controls   []ControlMember
+	Evacuated  []gypsumhoist.FailureDomain
 }
 
 // Table is the state of all entries at one revision.
@@ -26,6 +27,7 @@
 	grants     []*KeyGrant
 	placements []Placement
 	controls   []ControlMember
+	evacuated  []gypsumhoist.FailureDomain
 
 	workspaces    map[gypsumhoist.Workspace]*routes
 	workspaceRows map[gypsumhoist.Workspace]*Row // AnyRoute rows
@@ -50,6 +52,9 @@
 	for _, cm := range ct.Controls {
 		cs.putControl(&controlEntry{member: cm, revision: ct.Revision})
 	}
+	for _, dm := range ct.Evacuated {
+		cs.evacuations.put(dm, evacuationEntry{evacuated: true, revision: ct.Revision})
+	}
 	return buildTable(cs)
 }
 
@@ -63,6 +68,7 @@
 		workspaceRows: map[gypsumhoist.Workspace]*Row{},
 		open:          newRoutes(),
 		keys:          make(map[KeyHash]*KeyGrant, len(cs.grants)),
+		evacuated:     cs.evacuations.evacuatedDomains(),
 	}
 	for _, re := range cs.rows {
 		tb.addRow(&re.row)
