server: evacuated failure domains get no requests

A table that evacuates domains is passed to the router before anything else, and a node of such a domain refuses what other nodes still forward to its upstream, as leaving and not run. Announcements, health checks, keepers of rates and claims and the forwarding of callers' requests to other domains go on.

--- a/server/export_test.go
+++ b/server/export_test.go
@@ -48,6 +48,13 @@
 	return joinState{config: cfg, member: mb, gossipMember: find, waited: waited}.next()
 }
 
+// SetEvacuatedLocally makes the node of a process refuse calls to its upstream as in an evacuated domain, while its router and all other
+// processes know of no evacuation.
+func SetEvacuatedLocally(sv *Server, dm gypsumhoist.FailureDomain) {
+	sv.node.setEvacuated([]gypsumhoist.FailureDomain{dm})
+	sv.node.router.SetEvacuated(nil)
+}
+
 // Departures exports departures to tests.
 type Departures = departures
 
--- a/server/node.go
+++ b/server/node.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,8 @@
 	// transport sends requests to the announced upstream; drains is set once that has said in an answer that it drains.
 	transport forwarder.Upstream
 	drains    bool
+	// evacuated is set while the table in force evacuates this failure domain.
+	evacuated bool
 }
 
 func newNode(sv *Server, holder *registrar.Holder) *node {
@@ -186,7 +189,7 @@
 	}
 	nd.announcement = an
 	nd.admitter.SetSlots(an.Slots)
-	nd.forwarder.SetLeaving(an.State == announcer.StateDraining)
+	nd.setLeaving()
 	nd.publishUpstream(an)
 }
 
@@ -244,8 +247,24 @@
 	nd.sv.gossiper.Watch(svc)
 }
 
+// setEvacuated stops new requests to upstreams of evacuated domains. In its own domain the node refuses what other nodes still forward to its
+// upstream. Health checks, announcements and the forwarding of callers' requests to other domains go on.
+func (nd *node) setEvacuated(domains []gypsumhoist.FailureDomain) {
+	nd.router.SetEvacuated(domains)
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.evacuated = slices.Contains(domains, nd.sv.settings.FailureDomain)
+	nd.setLeaving()
+}
+
+// setLeaving makes the node refuse new calls to its upstream while that drains or is evacuated. It needs the mutex.
+func (nd *node) setLeaving() {
+	nd.forwarder.SetLeaving(nd.evacuated || nd.announcement.State == announcer.StateDraining)
+}
+
 // setTable applies a new table.
 func (nd *node) setTable(tb *registrar.Table) {
+	nd.setEvacuated(tb.Evacuated())
 	nd.watchTable(tb)
 	if nd.shards != nil {
 		nd.shards.setTable(tb)
--- a/server/server.go
+++ b/server/server.go
@@ -282,6 +282,11 @@
 // Revision returns the revision of the table in force in this process.
 func (sv *Server) Revision() uint64 { return sv.distributor.Holder().Current().Revision() }
 
+// Evacuated returns the failure domains that the table in force in this process evacuates, sorted.
+func (sv *Server) Evacuated() []gypsumhoist.FailureDomain {
+	return sv.distributor.Holder().Current().Evacuated()
+}
+
 // Stop drains and stops the process: no request in flight is cut off before the context ends or the settings' longest time has passed.
 func (sv *Server) Stop(ctx context.Context) error {
 	grace, longest := sv.settings.Stop.Times()
--- a/server/settings.go
+++ b/server/settings.go
@@ -79,6 +79,6 @@
 	st := sv.settings
 	return registrar.Source{
 		Instance: st.Instance, Domain: st.FailureDomain, Boot: uint64(sv.boot),
-		Peer: st.Listen.Peers, Control: st.Has(loader.RoleControl),
+		Peer: st.Listen.Peers, Control: st.Has(loader.RoleControl), ControlOnly: !st.Has(loader.RoleNode),
 	}
 }
--- a/server/view.go
+++ b/server/view.go
@@ -32,7 +32,8 @@
 		}
 		out = append(out, registrar.Source{
 			Instance: mb.Instance, Domain: mb.Domain, Boot: uint64(mb.Boot), Peer: mb.Peer,
-			Control: mb.Roles.Has(gossiper.RoleControl), Suspect: mb.Status != gossiper.StatusAlive,
+			Control: mb.Roles.Has(gossiper.RoleControl), ControlOnly: !mb.Roles.Has(gossiper.RoleNode),
+			Suspect: mb.Status != gossiper.StatusAlive,
 		})
 	}
 	return out
@@ -56,7 +57,7 @@
 		known := fd.Instance == sv.settings.Instance ||
 			slices.ContainsFunc(srcs, func(sc registrar.Source) bool { return sc.Instance == fd.Instance })
 		if !known {
-			srcs = append(srcs, registrar.Source{Instance: fd.Instance, Peer: fd.Peer, Control: true, Suspect: true})
+			srcs = append(srcs, registrar.Source{Instance: fd.Instance, Peer: fd.Peer, Control: true, ControlOnly: true, Suspect: true})
 		}
 	}
 	return srcs
