cmd/gypsumhoist: domain evacuate, domain restore; status names evacuated domains

The verbs send the order to any instance and wait for up to 3 s until it is in force everywhere, as edits do.

go test ./cmd/gypsumhoist passes.

--- a/cmd/gypsumhoist/domain.go
+++ b/cmd/gypsumhoist/domain.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
 )
 
 // domainCmd groups the commands on failure domains.
 type domainCmd struct {
+	Evacuate domainEvacuateCmd `cmd:"" help:"Send no new request to the upstreams of a failure domain, from any node, until it is restored."`
+	Restore  domainRestoreCmd  `cmd:"" help:"End the evacuation of a failure domain."`
+
 	Drop domainDropCmd `cmd:"" help:"Forget a failure domain that was taken out for good, so that edits wait for it no longer."`
 }
 
@@ -28,3 +32,33 @@
 	}
 	return dd.printEdit(answer)
 }
+
+// evacuationFlags are the flags of the commands that evacuate and restore a failure domain.
+type evacuationFlags struct {
+	operatorFlags
+
+	Wait   time.Duration `help:"How long to wait until the change is in force everywhere." default:"3s"`
+	Domain string        `arg:"" help:"The failure domain."`
+}
+
+// order sends an order. A resend is harmless: a fulfilled order changes nothing.
+func (ef *evacuationFlags) order(restore bool) error {
+	rq := &registrarpb.EvacuateDomainRequest{Domain: ef.Domain, Restore: restore, WaitMs: uint32(max(ef.Wait, 0).Milliseconds())}
+	answer, err := callOperatorPort(&ef.operatorFlags, ef.Wait, rq, registrarpb.OfficeClient.EvacuateDomain)
+	if err != nil {
+		return fmt.Errorf("%w\nRepeat the command; an order that is already fulfilled changes nothing", err)
+	}
+	return ef.printEdit(answer)
+}
+
+// domainEvacuateCmd evacuates a failure domain.
+type domainEvacuateCmd struct{ evacuationFlags }
+
+// Run evacuates the domain.
+func (de *domainEvacuateCmd) Run() error { return de.order(false) }
+
+// domainRestoreCmd ends the evacuation of a failure domain.
+type domainRestoreCmd struct{ evacuationFlags }
+
+// Run restores the domain.
+func (dr *domainRestoreCmd) Run() error { return dr.order(true) }
--- a/cmd/gypsumhoist/operator_test.go
+++ b/cmd/gypsumhoist/operator_test.go
@@ -44,6 +44,7 @@
 	ml := &singleMemberLog{state: registrar.NewState(), holder: registrar.NewHolder()}
 	service := registrar.NewOperatorService(registrar.WithProposer(ml), registrar.WithHolder(ml.holder),
 		registrar.WithSheet(ml.state.Sheet))
+	service.SetSources([]registrar.Source{{Instance: "n1", Domain: "hobart"}, {Instance: "n2", Domain: "kingston"}})
 	_, handler := service.Handler()
 	sv := httptest.NewServer(handler)
 	t.Cleanup(sv.Close)
@@ -70,6 +71,7 @@
 		&cmds.Table.Replace.operatorFlags, &cmds.Table.Sheet.operatorFlags,
 		&cmds.Key.Grant.operatorFlags, &cmds.Key.Withdraw.operatorFlags, &cmds.Key.List.operatorFlags,
 		&cmds.Status.operatorFlags, &cmds.Domain.Drop.operatorFlags,
+		&cmds.Domain.Evacuate.operatorFlags, &cmds.Domain.Restore.operatorFlags,
 		&cmds.Explain.operatorFlags, &cmds.Report.Burn.operatorFlags,
 		&cmds.Quarantine.List.operatorFlags, &cmds.Quarantine.Lift.operatorFlags,
 	} {
@@ -150,6 +152,18 @@
 	cr.mustRun("is deleted", "table", "delete", "derwent", "/slips")
 }
 
+func TestDomainCommands(t *testing.T) {
+	cr := newCommandRunner(t)
+	cr.mustRun("Failure domain \"hobart\" is evacuated.", "domain", "evacuate", "hobart")
+	cr.mustRun("was evacuated already", "domain", "evacuate", "hobart")
+	cr.mustRun("Evacuated: hobart.", "status")
+	// Within 3 s of its start an instance doesn't refuse a domain that it does not know: it may not know all yet.
+	cr.mustFail("nothing was changed", "domain", "evacuate", "nowhere")
+	cr.mustRun(`"revision":`, "domain", "restore", "hobart", "--json")
+	cr.mustRun("was not evacuated", "domain", "restore", "hobart")
+	cr.mustRun("Revision 2", "status")
+}
+
 func TestKeyCommands(t *testing.T) {
 	cr := newCommandRunner(t)
 	key, _, _ := strings.Cut(cr.mustRun("not shown again", "key", "grant", "derwent"), "\n")
--- a/cmd/gypsumhoist/status.go
+++ b/cmd/gypsumhoist/status.go
@@ -32,6 +32,11 @@
 	if _, err := fmt.Fprintf(sc.writer(), "Revision %d. %s\n", answer.GetRevision(), answer.GetText()); err != nil {
 		return err
 	}
+	if dms := answer.GetEvacuated(); len(dms) > 0 {
+		if _, err := fmt.Fprintf(sc.writer(), "Evacuated: %s.\n", strings.Join(dms, ", ")); err != nil {
+			return err
+		}
+	}
 	if err := sc.printDomains(answer.GetInForce().GetDomains()); err != nil {
 		return err
 	}
