server, cmd/gypsumhoist: domain status, to see that an evacuated domain is empty

An operator who evacuates a domain for maintenance must know when its last request has ended. The verb asks an instance, which asks those of the domain, for the requests that run or wait at their upstreams and for the revision of their tables. Silent instances are named, and an instance of another domain says that it may know only some of them.

--- a/cmd/gypsumhoist/fleet_test.go
+++ b/cmd/gypsumhoist/fleet_test.go
@@ -24,6 +24,9 @@
 	"GET /quarantine": {200, `{"suspects":[{"id":"abcd","workspace":"derwent","route":"/slips","method":"POST","target":"/slips/7",
 		"quarantined":true,"deaths":["n1","n2"],"left_s":90,"known_at":["n3"]}]}`},
 	"POST /quarantine/lift/abcd": {200, `{"instance":"n3"}`},
+	"GET /status/work/hobart": {200, `{"failure_domain":"hobart","evacuated":true,"revision":7,"requests":3,"partial":true,
+		"instances":[{"instance":"n1","failure_domain":"hobart","revision":7,"requests":3}],"silent":["n9"]}`},
+	"GET /status/work/nowhere":   {404, `{}`},
 	"POST /quarantine/lift/none": {404, `{"error":"suspect none is not known","silent":["n9"]}`},
 }
 
@@ -71,6 +74,19 @@
 	cr.mustFail("not a directory", "report", "burn", "--html", filepath.Join(file, "x", "y"))
 }
 
+// An operator must not take a domain for empty whose instances are silent or partly unknown.
+func TestDomainStatusCommand(t *testing.T) {
+	cr := newFakePort(t)
+	out := cr.mustRun(`"hobart" is evacuated at revision 7; 3 requests`, "domain", "status", "hobart")
+	for _, want := range []string{"n1", "may know only some", "No answer from n9"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q lacks %q", out, want)
+		}
+	}
+	cr.mustRun(`"evacuated":true`, "domain", "status", "hobart", "--json")
+	cr.mustFail("no instance of failure domain", "domain", "status", "nowhere")
+}
+
 func TestQuarantineCommands(t *testing.T) {
 	cr := newFakePort(t)
 	out := cr.mustRun("quarantined", "quarantine", "list")
--- a/cmd/gypsumhoist/operator_test.go
+++ b/cmd/gypsumhoist/operator_test.go
@@ -71,7 +71,7 @@
 		&cmds.Table.Replace.operatorFlags, &cmds.Table.Sheet.operatorFlags,
 		&cmds.Key.Grant.operatorFlags, &cmds.Key.Withdraw.operatorFlags, &cmds.Key.List.operatorFlags,
 		&cmds.Status.operatorFlags, &cmds.Domain.Drop.operatorFlags,
-		&cmds.Domain.Evacuate.operatorFlags, &cmds.Domain.Restore.operatorFlags,
+		&cmds.Domain.Evacuate.operatorFlags, &cmds.Domain.Restore.operatorFlags, &cmds.Domain.Status.operatorFlags,
 		&cmds.Explain.operatorFlags, &cmds.Report.Burn.operatorFlags,
 		&cmds.Quarantine.List.operatorFlags, &cmds.Quarantine.Lift.operatorFlags,
 	} {
--- a/server/evacuation_test.go
+++ b/server/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -253,6 +254,11 @@
 		Expect(took).To(BeNumerically("<", time.Second))
 		ginkgo.AddReportEntry(fmt.Sprintf("acknowledged after %s, last request to the domain %s after the acknowledgement", took, ef.expectEmpty(dm, acknowledged)))
 		ef.expectAllAnswered()
+		dw := ef.work(dm)
+		Expect(dw.Evacuated).To(BeTrue())
+		Expect(dw.Instances).To(HaveLen(4))
+		Expect(dw.Requests).To(BeZero())
+		Expect(ef.work("kingston").Evacuated).To(BeFalse())
 		_, took = ef.order(dm, true)
 		Expect(took).To(BeNumerically("<", time.Second))
 		ef.expectServed(dm)
@@ -419,6 +425,17 @@
 	}))
 })
 
+// work returns what runs in a domain, as an operator reads it.
+func (ef *evacuationFleet) work(dm gypsumhoist.FailureDomain) server.DomainWork {
+	ginkgo.GinkgoHelper()
+	rs, err := ef.client.Get(fmt.Sprintf("http://%s/status/work/%s", ef.fleet.InstanceSpecs()[0].Settings.Listen.Operator, dm))
+	Expect(err).NotTo(HaveOccurred())
+	defer rs.Body.Close()
+	var dw server.DomainWork
+	Expect(json.NewDecoder(rs.Body).Decode(&dw)).To(Succeed())
+	return dw
+}
+
 // evacuatedAt returns the evacuated domains of the table in force at an instance.
 func (ef *evacuationFleet) evacuatedAt(in gypsumhoist.Instance) []gypsumhoist.FailureDomain {
 	return ef.fleet.Process(in).Server.Evacuated()
--- a/server/gather.go
+++ b/server/gather.go
@@ -30,9 +30,13 @@
 
 // gather sends a GET request for the path to the peer ports of all other instances.
 func gather[T any](ctx context.Context, sv *Server, path string) gathered[T] {
+	return gatherFrom[T](ctx, sv, sv.otherInstances(), path)
+}
+
+// gatherFrom sends a GET request for the path to the peer ports of the given instances.
+func gatherFrom[T any](ctx context.Context, sv *Server, mbs []gossiper.Member, path string) gathered[T] {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
-	mbs := sv.otherInstances()
 	responses := make([]*T, len(mbs))
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, gatherConcurrency)
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -20,6 +20,7 @@
 	mux.HandleFunc("GET "+explainPath+"{id}", sv.serveLocalRecords)
 	mux.HandleFunc("GET "+burnPath, sv.serveLocalBurn)
 	mux.HandleFunc("GET "+groupsPath, sv.serveLocalGroups)
+	mux.HandleFunc("GET "+workPath, sv.serveLocalWork)
 	mux.HandleFunc("GET "+quarantinePath, sv.serveLocalSuspects)
 	mux.HandleFunc("POST "+liftPath+"{id}", sv.serveLocalLift)
 	if sv.node == nil {
@@ -46,6 +47,7 @@
 	rt.GET("/report/burn", sv.serveBurn)
 	rt.GET("/report/burn.html", sv.serveBurnPage)
 	rt.GET("/status/shards", sv.serveShards)
+	rt.GET("/status/work/:domain", sv.serveWork)
 	rt.GET("/quarantine", sv.serveQuarantine)
 	rt.POST("/quarantine/lift/:id", sv.serveLift)
 	mux := http.NewServeMux()
