--- a/registrar/evacuation_test.go
+++ b/registrar/evacuation_test.go
@@ -235,6 +235,32 @@
 		})
 	})
 
+	// Guards against replicas of the log whose revisions differ from then on: an older build refuses the command.
+	It("is not proposed while a control instance runs an older build", func() {
+		withFleet(2, 2, func(fl *fleet) {
+			fl.node("c2").older.Store(true)
+			_, err := fl.node("c0").operators.Evacuate(ctx, "d1", false)
+			Expect(err).To(MatchError(registrar.ErrNotProposed))
+			Expect(err).To(MatchError(ContainSubstring("c2 runs a build that does not know evacuations")))
+			Expect(fl.state.Table().Revision()).To(BeZero())
+			fl.node("c2").older.Store(false)
+			as, err := fl.node("c0").operators.Evacuate(ctx, "d1", false)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(as.Outcome).To(Equal(registrar.OutcomeAccepted))
+		})
+	})
+
+	It("is not delayed by more than half a second by a control instance that doesn't answer", func() {
+		withFleet(2, 2, func(fl *fleet) {
+			fl.node("c1").silent.Store(true)
+			began := time.Now()
+			as, err := fl.node("c0").operators.Evacuate(ctx, "d1", false)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(as.Outcome).To(Equal(registrar.OutcomeAccepted))
+			Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		})
+	})
+
 	It("that races with its opposite leaves the state of the order that was accepted last", func() {
 		withFleet(3, 2, func(fl *fleet) {
 			type result struct {
--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -69,6 +69,7 @@
 	conns       chan net.Conn
 	down        atomic.Bool
 	noQuorum    atomic.Bool // its log has no quorum
+	older       atomic.Bool // answers operators as a build without evacuations
 	silent      atomic.Bool // neither sends nor receives, as a suspended or cut-off machine
 	bytes       atomic.Int64
 }
@@ -204,7 +205,14 @@
 	nd.operators = registrar.NewOperatorService(append(opts, registrar.WithDistributor(nd.distributor))...)
 	mux := http.NewServeMux()
 	mux.Handle(nd.distributor.Handler())
-	mux.Handle(nd.operators.Handler())
+	path, operators := nd.operators.Handler()
+	mux.HandleFunc(path, func(wr http.ResponseWriter, rq *http.Request) {
+		if nd.older.Load() && strings.HasSuffix(rq.URL.Path, "/EvacuateDomain") {
+			http.NotFound(wr, rq)
+			return
+		}
+		operators.ServeHTTP(wr, rq)
+	})
 	nd.server = &http.Server{Handler: mux, Protocols: protocols}
 	http2Only := new(http.Protocols)
 	http2Only.SetUnencryptedHTTP2(true)
--- a/registrar/operator_evacuation.go
+++ b/registrar/operator_evacuation.go
@@ -88,6 +88,9 @@
 	case settling && (unknown || !restore && tb.evacuationLeavesNone(dm, domains.serving)):
 		return Answer{}, fmt.Errorf("this instance has just started and may not know all failure domains: %w", ErrNotProposed)
 	}
+	if err := ops.checkCapabilities(ctx); err != nil {
+		return Answer{}, err
+	}
 	return ops.commit(ctx, "", EvacuateDomain{Domain: dm, Restore: restore, Base: current.revision, Serving: domains.serving})
 }
 
@@ -103,6 +106,10 @@
 func (sv operatorServer) EvacuateDomain(
 	ctx context.Context, rq *connect.Request[registrarpb.EvacuateDomainRequest],
 ) (*editResponse, error) {
+	if rq.Msg.GetDomain() == "" {
+		// Other control instances ask so whether this build knows evacuations.
+		return connect.NewResponse(&registrarpb.EditAnswer{Outcome: registrarpb.Outcome_OUTCOME_REFUSED, Text: "No failure domain is given."}), nil
+	}
 	// No edit id goes into the log: a resend is recognized by the state, and a conflict must not be remembered for it.
 	id := EditID("evacuate-" + rq.Msg.GetDomain())
 	if rq.Msg.GetRestore() {
--- a/registrar/operator_service.go
+++ b/registrar/operator_service.go
@@ -67,6 +67,8 @@
 	controls    atomic.Pointer[[]Source]
 	domains     atomic.Pointer[fleetDomains]
 	created     time.Time
+
+	capabilities capabilities
 }
 
 // NewOperatorService returns the operators' service. Without WithProposer it forwards all requests to the control instances
