registrar: evacuations reach nodes of this build below older ones

An older node relays the table without the list of evacuations, so that the nodes below it in the tree got the revision and never the list. A delta that raises the revision without a change shows such a source, as does one that names no evacuation though the requester knows of one: the requester then pulls from a control instance, at once or every 2 s. A list is kept when a table without it arrives. A fleet without evacuations sends nothing more.

--- a/registrar/delta.go
+++ b/registrar/delta.go
@@ -37,9 +37,20 @@
 		}
 	}
 	dl.Evacuations = cs.evacuations.message()
+	if from < cs.revision && isUnexplained(dl) && !cs.evacuations.incomplete {
+		// A sheet that equals the previous one changes only the revision.
+		dl.Evacuations = &registrarpb.Evacuations{}
+	}
 	return dl
 }
 
+// isUnexplained reports whether a delta holds nothing that could have raised the revision. It then comes from an older build, which relays tables
+// without their evacuations.
+func isUnexplained(dl *registrarpb.Delta) bool {
+	return !dl.GetFull() && dl.Evacuations == nil &&
+		len(dl.GetRows())+len(dl.GetGrants())+len(dl.GetPlacements())+len(dl.GetControls())+len(dl.GetGone()) == 0
+}
+
 // filterSorted returns the wanted values of a map in key order.
 func filterSorted[K comparable, V any](all map[K]V, compare func(ka, kb K) int, wanted func(V) bool) []V {
 	var keys []K
@@ -113,6 +124,9 @@
 		}
 		cs.putControl(ce)
 	}
+	if isUnexplained(dl) {
+		cs.evacuations.incomplete = true
+	}
 	cs.evacuations.merge(dl.GetEvacuations())
 	return nil
 }
--- a/registrar/distributor_server.go
+++ b/registrar/distributor_server.go
@@ -44,13 +44,17 @@
 		Revision: tb.Revision(),
 		HeldUs:   uint64(held.Microseconds()),
 		Control:  sv.ds.self.Control,
+
+		EvacuationRevision: tb.evacuationRevision(),
 	}
 	if age != AgeUnknown {
 		// Rounded up, so that no table seems fresher than it is.
 		us := uint64(age.Microseconds()) + 1
 		answer.AgeUs = &us
 	}
-	if tb.Revision() > rq.Msg.GetRevision() {
+	// A pull that is not held may be that of an instance whose source left out the evacuations. Older builds ignore the delta.
+	lacksEvacuations := rq.Msg.GetHoldMs() == 0 && tb.Revision() == rq.Msg.GetRevision() && tb.evacuationRevision() > rq.Msg.GetEvacuationRevision()
+	if tb.Revision() > rq.Msg.GetRevision() || lacksEvacuations {
 		answer.Delta = sv.ds.delta(tb, rq.Msg.GetRevision())
 	}
 	return connect.NewResponse(answer), nil
@@ -126,13 +130,18 @@
 
 // deltaCache holds the deltas to one revision, as many requesters come from the same earlier one.
 type deltaCache struct {
-	to   uint64
-	from map[uint64]*registrarpb.Delta
+	to, evacuations uint64
+	from            map[uint64]*registrarpb.Delta
+}
+
+// isOf reports whether the cached deltas lead to the table.
+func (dc *deltaCache) isOf(tb *Table) bool {
+	return dc.to == tb.Revision() && dc.evacuations == tb.evacuationRevision()
 }
 
 func (ds *Distributor) delta(tb *Table, from uint64) *registrarpb.Delta {
 	ds.mu.Lock()
-	if dl := ds.deltas.from[from]; dl != nil && ds.deltas.to == tb.Revision() {
+	if dl := ds.deltas.from[from]; dl != nil && ds.deltas.isOf(tb) {
 		ds.mu.Unlock()
 		return dl
 	}
@@ -140,8 +149,8 @@
 	dl := tb.deltaFrom(from)
 	ds.mu.Lock()
 	defer ds.mu.Unlock()
-	if ds.deltas.to != tb.Revision() || len(ds.deltas.from) >= deltaCacheMax {
-		ds.deltas = deltaCache{to: tb.Revision(), from: map[uint64]*registrarpb.Delta{}}
+	if !ds.deltas.isOf(tb) || len(ds.deltas.from) >= deltaCacheMax {
+		ds.deltas = deltaCache{to: tb.Revision(), evacuations: tb.evacuationRevision(), from: map[uint64]*registrarpb.Delta{}}
 	}
 	ds.deltas.from[from] = dl
 	return dl
--- a/registrar/evacuation.go
+++ b/registrar/evacuation.go
@@ -34,10 +34,12 @@
 	// revision is that of the last change; zero if there was none.
 	revision uint64
 	domains  map[gypsumhoist.FailureDomain]evacuationEntry
+	// incomplete is set after a delta that an older build has relayed without its evacuations, until a list arrives.
+	incomplete bool
 }
 
 func (ev evacuations) clone() evacuations {
-	return evacuations{revision: ev.revision, domains: maps.Clone(ev.domains)}
+	return evacuations{revision: ev.revision, domains: maps.Clone(ev.domains), incomplete: ev.incomplete}
 }
 
 func (ev *evacuations) put(dm gypsumhoist.FailureDomain, ee evacuationEntry) {
@@ -117,6 +119,21 @@
 	return ms
 }
 
+// evacuationRevision returns the revision of the last change of the evacuated domains; zero if there was none.
+func (tb *Table) evacuationRevision() uint64 {
+	if tb == nil {
+		return 0
+	}
+	return tb.contents.evacuations.revision
+}
+
+// withEvacuations returns the table with a newer list of evacuations, which an older build has relayed it without.
+func (tb *Table) withEvacuations(ms *registrarpb.Evacuations) *Table {
+	cs := tb.contents.clone()
+	cs.evacuations.merge(ms)
+	return buildTable(cs)
+}
+
 // Evacuated returns the evacuated failure domains, sorted.
 func (tb *Table) Evacuated() []gypsumhoist.FailureDomain {
 	if tb == nil {
--- a/registrar/evacuation_test.go
+++ b/registrar/evacuation_test.go
@@ -157,14 +157,16 @@
 var _ = Describe("an order to evacuate", func() {
 	ctx := context.Background()
 	order := func(nd *fleetNode, dm string, restore bool) *registrarpb.EditAnswer {
-		rs, err := operatorClient(nd).EvacuateDomain(ctx, request(&registrarpb.EvacuateDomainRequest{Domain: dm, Restore: restore, WaitMs: 2000}))
+		rs, err := operatorClient(nd).EvacuateDomain(ctx, request(&registrarpb.EvacuateDomainRequest{Domain: dm, Restore: restore}))
 		Expect(err).NotTo(HaveOccurred())
 		return rs.Msg
 	}
 
 	It("is forwarded from any instance, and in force everywhere within milliseconds", func() {
 		withFleet(3, 2, func(fl *fleet) {
-			answer := order(fl.node("n4"), "d1", false)
+			rs, err := operatorClient(fl.node("n4")).EvacuateDomain(ctx, request(&registrarpb.EvacuateDomainRequest{Domain: "d1", WaitMs: 2000}))
+			Expect(err).NotTo(HaveOccurred())
+			answer := rs.Msg
 			Expect(answer.GetOutcome()).To(Equal(registrarpb.Outcome_OUTCOME_ACCEPTED))
 			Expect(answer.GetInForce().GetEverywhere()).To(BeTrue())
 			for _, nd := range fl.order {
@@ -302,6 +304,47 @@
 		})
 	})
 
+	// Guards against a node that never learns of an evacuation, or of its end, because the instances above it in the tree run an older build and
+	// relay the table without it: every second node, and among them all that pull from control.
+	It("reaches every node of this build though others relay the table without it", func() {
+		withFleet(2, 24, func(fl *fleet) {
+			var newer []*fleetNode
+			for ix, nd := range fl.order {
+				if nd.self.Control {
+					continue
+				}
+				nd.older.Store(registrar.PreferredSources(nd.self, fl.sources())[0].Control || ix%3 == 0)
+				if !nd.older.Load() {
+					newer = append(newer, nd)
+				}
+			}
+			Expect(len(newer)).To(BeNumerically(">", 10))
+			evacuatedAt := func(want int) func() bool {
+				return func() bool {
+					for _, nd := range newer {
+						if len(nd.holder.Current().Evacuated()) != want {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			fl.apply("", newRow("w", "/"))
+			time.Sleep(5 * time.Second)
+			for round := range 3 {
+				order(fl.node("c0"), "d1", false)
+				took := until(10*time.Second, evacuatedAt(1))
+				Expect(took).To(And(BeNumerically(">=", 0), BeNumerically("<", 5*time.Second)))
+				order(fl.node("c0"), "d1", true)
+				// An edit that is relayed together with the restore hides it.
+				fl.apply("", newRow("w", fmt.Sprint("/", round)))
+				restored := until(10*time.Second, evacuatedAt(0))
+				Expect(restored).To(And(BeNumerically(">=", 0), BeNumerically("<", 5*time.Second)))
+				AddReportEntry(fmt.Sprintf("evacuated after %s, restored after %s", took, restored))
+			}
+		})
+	})
+
 	// A domain that is cut off keeps its table, and a node there goes on sending; it follows within ApplyWithin of its return.
 	It("reaches a domain that was cut off when it comes back", func() {
 		withFleet(3, 3, func(fl *fleet) {
--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -8,15 +8,19 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/logger"
 	"github.com/gypsumhoist/gypsumhoist/registrar"
+	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
 )
 
 var errPartitioned = errors.New("cut off")
@@ -69,7 +73,7 @@
 	conns       chan net.Conn
 	down        atomic.Bool
 	noQuorum    atomic.Bool // its log has no quorum
-	older       atomic.Bool // answers operators as a build without evacuations
+	older       atomic.Bool // answers as a build without evacuations
 	silent      atomic.Bool // neither sends nor receives, as a suspended or cut-off machine
 	bytes       atomic.Int64
 }
@@ -204,7 +208,15 @@
 	nd.distributor = registrar.NewDistributor(opts...)
 	nd.operators = registrar.NewOperatorService(append(opts, registrar.WithDistributor(nd.distributor))...)
 	mux := http.NewServeMux()
-	mux.Handle(nd.distributor.Handler())
+	spreadPath, spread := nd.distributor.Handler()
+	_, older := registrarpb.NewSpreadHandler(olderSpread{registrarpb.NewSpreadClient(&http.Client{Transport: handlerTransport{spread}}, "http://spread")})
+	mux.HandleFunc(spreadPath, func(wr http.ResponseWriter, rq *http.Request) {
+		if nd.older.Load() {
+			older.ServeHTTP(wr, rq)
+			return
+		}
+		spread.ServeHTTP(wr, rq)
+	})
 	path, operators := nd.operators.Handler()
 	mux.HandleFunc(path, func(wr http.ResponseWriter, rq *http.Request) {
 		if nd.older.Load() && strings.HasSuffix(rq.URL.Path, "/EvacuateDomain") {
@@ -243,6 +255,40 @@
 	nd.start()
 }
 
+// olderSpread answers pulls as a build without evacuations.
+type olderSpread struct{ registrarpb.SpreadClient }
+
+func (os olderSpread) Pull(ctx context.Context, rq *connect.Request[registrarpb.PullRequest]) (*connect.Response[registrarpb.PullAnswer], error) {
+	rq.Msg.EvacuationRevision = 0
+	rs, err := os.SpreadClient.Pull(ctx, connect.NewRequest(rq.Msg))
+	if err != nil {
+		return nil, err
+	}
+	answer := rs.Msg
+	answer.EvacuationRevision = 0
+	if answer.Delta != nil {
+		answer.Delta.Evacuations = nil
+	}
+	return connect.NewResponse(answer), nil
+}
+
+func (os olderSpread) Report(ctx context.Context, rq *connect.Request[registrarpb.ReportRequest]) (*connect.Response[registrarpb.ReportAnswer], error) {
+	rs, err := os.SpreadClient.Report(ctx, connect.NewRequest(rq.Msg))
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(rs.Msg), nil
+}
+
+// handlerTransport sends requests to a handler in the same process.
+type handlerTransport struct{ handler http.Handler }
+
+func (ht handlerTransport) RoundTrip(rq *http.Request) (*http.Response, error) {
+	rec := httptest.NewRecorder()
+	ht.handler.ServeHTTP(rec, rq)
+	return rec.Result(), nil
+}
+
 // Barrier and Propose make the node a registrar.Proposer, Do and URL its own connector.Peers.
 func (nd *fleetNode) Barrier(context.Context) error {
 	if nd.noQuorum.Load() {
--- a/registrar/holder.go
+++ b/registrar/holder.go
@@ -49,13 +49,18 @@
 	return hd.changed
 }
 
-// Update puts a table into force if its revision is higher than the current one, and reports whether it did.
+// Update puts a table into force if its revision, or that of its evacuations, is higher than the current one, and reports whether it did.
+// A table that lacks evacuations, as an older build has relayed it, gets those of the current one.
 func (hd *Holder) Update(tb *Table) bool {
 	hd.mu.Lock()
 	defer hd.mu.Unlock()
-	if tb.Revision() <= hd.current.Load().Revision() {
+	current := hd.current.Load()
+	if tb.Revision() < current.Revision() || tb.Revision() == current.Revision() && tb.evacuationRevision() <= current.evacuationRevision() {
 		return false
 	}
+	if tb.evacuationRevision() < current.evacuationRevision() {
+		tb = tb.withEvacuations(current.contents.evacuations.message())
+	}
 	hd.current.Store(tb)
 	close(hd.changed)
 	hd.changed = make(chan struct{})
--- a/registrar/puller.go
+++ b/registrar/puller.go
@@ -44,6 +44,9 @@
 	held     *pullInFlight
 	nextHeld time.Time
 	catchUp  catchUp
+	// reviewDue is set while sources may have left out evacuations, and nextReview is when a control instance may be asked for them again.
+	reviewDue  bool
+	nextReview time.Time
 }
 
 // pullInFlight is a pull whose answer is awaited.
@@ -58,6 +61,8 @@
 	pull *pullInFlight
 	age  time.Duration
 	err  error
+	// older is set if the source runs a build that relays tables without their evacuations.
+	older bool
 }
 
 func newPuller(ds *Distributor) *puller {
@@ -101,7 +106,7 @@
 	ctx := pl.ds.tm.Context(context.Background())
 	for _, sc := range sources {
 		pl.ds.tm.Go(func() error {
-			_, err := pl.ds.pull(ctx, sc, 0, startupPullTimeout)
+			_, _, err := pl.ds.pull(ctx, sc, 0, startupPullTimeout)
 			answers <- err == nil
 			return nil
 		})
@@ -156,7 +161,7 @@
 			pl.start(sc, 0, pl.timeout(shortPullTimeout, startupPullTimeout))
 		}
 	}
-	wait := pl.catchUpIfLate(now)
+	wait := min(pl.catchUpIfLate(now), pl.reviewEvacuations(now))
 	if pl.held == nil {
 		wait = min(wait, max(pl.nextHeld.Sub(now), minPullInterval))
 	}
@@ -180,9 +185,9 @@
 	pl.inFlight[sc.Instance] = pf
 	pl.ds.tm.Go(func() error {
 		defer cancel()
-		age, err := pl.ds.pull(ctx, sc, hold, timeout)
+		age, older, err := pl.ds.pull(ctx, sc, hold, timeout)
 		select {
-		case pl.results <- pullResult{pull: pf, age: age, err: err}:
+		case pl.results <- pullResult{pull: pf, age: age, err: err, older: older}:
 		case <-pl.ds.tm.Dying():
 		}
 		return nil
@@ -228,6 +233,9 @@
 		return
 	}
 	pl.selector.recordSuccess(sc.Instance)
+	if re.older || sc.Control {
+		pl.reviewDue = re.older
+	}
 	if held {
 		pl.nextHeld = re.pull.began.Add(minPullInterval)
 		pl.reportToParent(sc)
@@ -235,6 +243,27 @@
 	pl.endCatchUp(sc, now)
 }
 
+// reviewInterval is the least time between two pulls for evacuations that sources of older builds have left out. With the longest hold of a pull
+// before it, it stays within the 5 s in which an evacuation must be in force.
+const reviewInterval = 2 * time.Second
+
+// reviewEvacuations pulls from a control instance, at most every reviewInterval, if a source runs an older build. Control instances
+// don't accept evacuations while one of them does. It returns the time until it must be called again.
+func (pl *puller) reviewEvacuations(now time.Time) time.Duration {
+	if !pl.reviewDue {
+		return reviewInterval
+	}
+	if now.Before(pl.nextReview) {
+		return pl.nextReview.Sub(now)
+	}
+	sc, _, ok := pl.selector.leastFailed(func(sc Source) bool { return sc.Control && !pl.isInFlight(sc.Instance) })
+	if ok && len(pl.inFlight) < pullsInFlightMax {
+		pl.start(sc, 0, pl.timeout(shortPullTimeout, startupPullTimeout))
+	}
+	pl.nextReview = now.Add(reviewInterval)
+	return reviewInterval
+}
+
 // fail records that a source gave no answer or, with late, one that did not bring the table up to date.
 func (pl *puller) fail(sc Source, late bool, now time.Time) {
 	pl.selector.recordFailure(sc.Instance, now)
@@ -284,14 +313,17 @@
 	pl.ds.tm.Go(rp.loop)
 }
 
-// pull sends one request to a source, applies its delta and confirmation, and returns the age of the source's table.
-func (ds *Distributor) pull(ctx context.Context, sc Source, hold, timeout time.Duration) (time.Duration, error) {
+// pull sends one request to a source, applies its delta and confirmation, and returns the age of the source's table, and whether the source
+// runs a build that relays tables without their evacuations.
+func (ds *Distributor) pull(ctx context.Context, sc Source, hold, timeout time.Duration) (age time.Duration, older bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	rq := &registrarpb.PullRequest{
 		Instance: string(ds.self.Instance),
 		Revision: ds.holder.Current().Revision(),
 		HoldMs:   uint32(hold.Milliseconds()),
+
+		EvacuationRevision: ds.holder.Current().evacuationRevision(),
 	}
 	if age := ds.holder.Age(); age != AgeUnknown {
 		us := uint64(age.Microseconds())
@@ -303,27 +335,41 @@
 		Pull(ctx, connect.NewRequest(rq))
 	if err != nil {
 		ds.metrics.failures.Inc()
-		return AgeUnknown, fmt.Errorf("pull from %s: %w", sc.Instance, err)
+		return AgeUnknown, false, fmt.Errorf("pull from %s: %w", sc.Instance, err)
 	}
 	if err := ds.applyDelta(rs.Msg.GetDelta()); err != nil {
 		ds.metrics.failures.Inc()
 		ds.log.Log(eventDeltaUnusable, "source", sc.Instance, "err", err)
-		return AgeUnknown, err
+		return AgeUnknown, false, err
 	}
+	older = leavesOutEvacuations(rq, rs.Msg)
 	if rs.Msg.AgeUs == nil {
-		return AgeUnknown, nil
+		return AgeUnknown, older, nil
 	}
 	// The source read the age after the hold, so that asOf is no later than the true time.
 	held := time.Duration(rs.Msg.GetHeldUs()) * time.Microsecond
-	age := time.Duration(rs.Msg.GetAgeUs()) * time.Microsecond
+	age = time.Duration(rs.Msg.GetAgeUs()) * time.Microsecond
 	asOf := sentAt.Add(min(held, clocker.Since(sentAt)) - age)
 	ds.holder.Confirm(rs.Msg.GetRevision(), asOf)
-	return clocker.Since(asOf), nil
+	return clocker.Since(asOf), older, nil
+}
+
+// leavesOutEvacuations reports whether an answer comes from a build that relays tables without their evacuations, as far as it shows: it raises the
+// revision without a change, or its source knows of no evacuation though the requester does.
+func leavesOutEvacuations(rq *registrarpb.PullRequest, answer *registrarpb.PullAnswer) bool {
+	if dl := answer.GetDelta(); dl != nil && isUnexplained(dl) {
+		return true
+	}
+	return answer.GetEvacuationRevision() == 0 && rq.GetEvacuationRevision() > 0 && answer.GetRevision() >= rq.GetRevision()
 }
 
 // applyDelta puts the table of a delta into force. A delta that no longer applies, as another source was faster, is ignored.
 func (ds *Distributor) applyDelta(dl *registrarpb.Delta) error {
 	tb := ds.holder.Current()
+	if tb != nil && dl.GetRevision() <= tb.Revision() && dl.GetEvacuations().GetRevision() > tb.evacuationRevision() {
+		ds.holder.Update(tb.withEvacuations(dl.GetEvacuations()))
+		return nil
+	}
 	if dl == nil || dl.GetRevision() <= tb.Revision() || !dl.GetFull() && dl.GetFrom() != tb.Revision() {
 		return nil
 	}
