--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -60,6 +60,9 @@
 	fleetOnly("crashes", "SERVICE", "count the upstreams of a service that crashed since the start", sim.doCrashes)
 	fleetOnly("drain", "INSTANCE", "shut an instance down gracefully", sim.doDrain)
 	fleetOnly("withdraw", "WORKSPACE", "withdraw the workspace's key", sim.doWithdraw)
+	fleetOnly("evacuate", "DOMAIN", "evacuate a failure domain", func(args []string) error { return sim.doEvacuate(args[0], false) })
+	fleetOnly("restore", "DOMAIN", "end the evacuation of a failure domain", func(args []string) error { return sim.doEvacuate(args[0], true) })
+	fleetOnly("runs", "DOMAIN MARK MARK", "count the requests that upstreams of a domain began between two marks", sim.doRuns)
 	fleetOnly("edit", "WORKSPACE ROUTE COLUMN=VALUE...", "edit a row", sim.doEdit)
 	fleetOnly("isolate", "INSTANCE", "partition one instance from all others", sim.doIsolate)
 	fleetOnly("rejoin", "INSTANCE", "end the partition of an instance", sim.doRejoin)
@@ -316,6 +319,39 @@
 	return nil
 }
 
+func (sim *simulation) doEvacuate(domain string, restore bool) error {
+	rq := &registrarpb.EvacuateDomainRequest{Domain: domain, Restore: restore}
+	began := time.Now()
+	an, err := retryUntilAnswered(func(ctx context.Context) (*connect.Response[registrarpb.EditAnswer], error) {
+		return sim.operatorClient().EvacuateDomain(ctx, connect.NewRequest(rq))
+	})
+	if err != nil {
+		return err
+	}
+	if an.GetOutcome() != registrarpb.Outcome_OUTCOME_ACCEPTED {
+		return fmt.Errorf("order for %s: %s", domain, an.GetText())
+	}
+	sim.measures["acknowledged"] = time.Since(began).Seconds()
+	fmt.Fprintf(sim.out, "restore=%t %s: acknowledged after %s\n", restore, domain, time.Since(began))
+	return nil
+}
+
+func (sim *simulation) doRuns(args []string) error {
+	domains := map[gypsumhoist.Instance]gypsumhoist.FailureDomain{}
+	for _, sp := range sim.fleet.InstanceSpecs() {
+		domains[sp.Settings.Instance] = sp.Settings.FailureDomain
+	}
+	count := 0
+	for _, rn := range sim.history.Runs() {
+		if string(domains[rn.Instance]) == args[0] && !rn.Began.Before(sim.marks[args[1]]) && rn.Began.Before(sim.marks[args[2]]) {
+			count++
+		}
+	}
+	sim.measures["runs"] = float64(count)
+	fmt.Fprintf(sim.out, "%s..%s %s: %d runs\n", args[1], args[2], args[0], count)
+	return nil
+}
+
 func (sim *simulation) doEdit(args []string) error {
 	values := map[string]string{}
 	maps.Copy(values, options(args[2:]))
