connector: responses that are not the upstream's are failures, never passed on

An upstream answered a long upload with a 200 without a length, sent a part of the body and reset the connection: the reset was reported to the write, the read after it saw an orderly end, and the caller got the part as a complete response. A status of 000 or 099 ended the caller's connection without a response, and heads with malformed names were accepted, since net/http parses them leniently.

Each connection of an UpstreamPool now checks the bytes of every response before net/http parses them: status line, interim responses, names, values, framing, chunks and trailers. A body that ends with its connection is complete only once its request has been sent; a failed write makes the end an error. PeerPool checks statuses, lengths and the number of interim responses of HTTP/2, which net/http leaves open; both probes accept proper responses only.

--- a/connector/attempt.go
+++ b/connector/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 	"sync"
 
@@ -14,6 +15,8 @@
 
 // attempt tracks one request through an http.Transport, to tell after a failure whether the request may have run.
 type attempt struct {
+	method string
+
 	mu sync.Mutex
 	// conn is the connection that the transport chose last if it belongs to an UpstreamPool, peer if it belongs to a PeerPool.
 	conn *poolConn
@@ -24,6 +27,8 @@
 	hasConn bool
 	// headerStarted is set when writing of the header begins or is about to begin; HTTP/2 only.
 	headerStarted bool
+	// interim counts the interim responses (1xx); HTTP/2 only.
+	interim int
 }
 
 // errTrace is the cause of refused TRACE requests: they must not have a body,
@@ -45,6 +50,7 @@
 // For those methods (HTTP/1.1 only) the key of the header map is written in lower case instead, which
 // the transport does not recognise; receivers must, as header names are case-insensitive.
 func (at *attempt) prepare(req *http.Request, isHTTP2 bool) *http.Request {
+	at.method = req.Method
 	ctx := httptrace.WithClientTrace(req.Context(), at.trace(isHTTP2))
 	out := req.WithContext(ctx)
 	out.GetBody = nil
@@ -105,8 +111,10 @@
 	ct := &httptrace.ClientTrace{GotConn: at.gotConn}
 	if isHTTP2 {
 		ct.WroteHeaderField = func(string, []string) { at.noteHeader() }
+		ct.Got1xxResponse = at.gotInterim
 	} else {
 		ct.PutIdleConn = func(error) { at.release() }
+		ct.WroteRequest = at.wroteRequest
 	}
 	return ct
 }
@@ -118,7 +126,7 @@
 	switch pc := info.Conn.(type) {
 	case *poolConn:
 		at.conn = pc
-		at.requestNo = pc.acquire()
+		at.requestNo = pc.acquire(at.method)
 	case *peerConn:
 		at.releasePeerLocked()
 		at.peer = pc
@@ -148,6 +156,31 @@
 	}
 }
 
+// wroteRequest records that an HTTP/1.1 request was passed to the connection completely.
+func (at *attempt) wroteRequest(info httptrace.WroteRequestInfo) {
+	at.mu.Lock()
+	pc := at.conn
+	at.mu.Unlock()
+	if pc != nil && info.Err == nil {
+		pc.noteSent()
+	}
+}
+
+// gotInterim limits the interim responses to an HTTP/2 request, for which net/http bounds only the size of each.
+func (at *attempt) gotInterim(status int, _ textproto.MIMEHeader) error {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	at.interim++
+	switch {
+	case status == statusSwitch:
+		return errSwitched
+	case at.interim > maxInterim:
+		return errInterim
+	default:
+		return nil
+	}
+}
+
 func (at *attempt) noteHeader() {
 	at.mu.Lock()
 	at.headerStarted = true
--- a/connector/event.go
+++ b/connector/event.go
@@ -11,6 +11,8 @@
 		"A connection to another instance received no byte, not even in response to a probe; it was closed, and other connections are probed, too.")
 	eventConnFailed = logger.Define(1103, logger.LevelInfo, "connection_failed",
 		"A connection was closed after an error: by the server, for example because a client went silent, or to an upstream that sent data without a request.")
+	eventBroken = logger.Define(1110, logger.LevelWarn, "responses_broken",
+		"An upstream or another instance sent responses that are malformed, or closed a connection before the request was sent; they were not passed on. One line a second at most, with their number; look at the sender.")
 	eventServeFailed = logger.Define(1102, logger.LevelError, "listener_failed",
 		"A port no longer accepts connections; restart the process.")
 )
--- a/connector/peerpool.go
+++ b/connector/peerpool.go
@@ -21,6 +21,7 @@
 
 // PeerPool sends requests to other instances over shared HTTP/2 connections.
 // It uses no proxy, follows no redirect and never sends a request twice.
+// A response whose status or length is malformed is a Failure; one whose body is not complete gives an error of the body's Read.
 // A connection that receives nothing although a request was sent is probed, and closed if the probe gets no response,
 // so that a silent connection is replaced after the sum of the two times of WithPing. Other connections are then probed, too.
 // Connections without requests are not probed: a fleet has one for each pair of its nodes.
@@ -29,6 +30,7 @@
 	config    config
 	transport *http.Transport
 	dials     *metrics.Counter
+	broken    *brokenResponses
 
 	mu     sync.Mutex
 	closed bool
@@ -63,6 +65,7 @@
 		},
 	}
 	pp.dials = counter(pp.config.metrics, `gypsumhoist_connector_dials_total{kind="peer"}`)
+	pp.broken = newBrokenResponses(&pp.config, "peer", nil)
 	return pp
 }
 
@@ -78,6 +81,12 @@
 		at.releasePeer()
 		return nil, newFailure(req.Context(), at.notRunHTTP2(req.Context(), err), err)
 	}
+	if err := checkPeerResponse(rsp); err != nil {
+		_ = rsp.Body.Close()
+		at.releasePeer()
+		pp.broken.note(err)
+		return nil, newFailure(req.Context(), false, err)
+	}
 	rsp.Request = req
 	rsp.Body = &peerBody{ReadCloser: rsp.Body, attempt: at}
 	return rsp, nil
--- a/connector/peersilence.go
+++ b/connector/peersilence.go
@@ -78,8 +78,9 @@
 	rsp, err := pp.transport.RoundTrip(at.prepare(optionsRequest(pc.addr).WithContext(ctx), true))
 	defer at.releasePeer()
 	if err == nil {
+		err = checkPeerResponse(rsp)
 		_ = rsp.Body.Close()
-		if at.usesPeer(pc) {
+		if err == nil && at.usesPeer(pc) {
 			pp.config.pathMonitor.Answered(pc.addr, time.Since(from))
 		}
 		return false
@@ -125,7 +126,8 @@
 	if err != nil {
 		return err
 	}
-	return rsp.Body.Close()
+	defer rsp.Body.Close()
+	return checkPeerResponse(rsp)
 }
 
 // maxOtherProbes limits the other connections that are probed when one was found silent. Each of those that is silent, too,
--- a/connector/poolconn.go
+++ b/connector/poolconn.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// poolConn is a connection of an UpstreamPool that tracks when it was last active.
+// poolConn is a connection of an UpstreamPool that tracks when it was last active and checks the responses that it receives.
 type poolConn struct {
-	net.Conn
+	*responseConn
 	opened  time.Time
 	onClose func(*poolConn)
 
@@ -23,14 +23,21 @@
 	lastActivity time.Time
 }
 
-func newPoolConn(cn net.Conn, onClose func(*poolConn)) *poolConn {
+func newPoolConn(cn net.Conn, onClose func(*poolConn), onBroken func(error)) *poolConn {
 	now := time.Now()
-	return &poolConn{Conn: cn, opened: now, lastActivity: now, onClose: onClose}
+	pc := &poolConn{opened: now, lastActivity: now, onClose: onClose}
+	pc.responseConn = newResponseConn(cn, func(err error) {
+		pc.mu.Lock()
+		pc.retired = true
+		pc.mu.Unlock()
+		onBroken(err)
+	})
+	return pc
 }
 
 // Read implements net.Conn.
 func (pc *poolConn) Read(buf []byte) (int, error) {
-	n, err := pc.Conn.Read(buf)
+	n, err := pc.responseConn.Read(buf)
 	if n > 0 {
 		pc.mu.Lock()
 		pc.lastActivity = time.Now()
@@ -50,7 +57,7 @@
 	}
 	pc.writeBegun = true
 	pc.mu.Unlock()
-	return pc.Conn.Write(buf)
+	return pc.responseConn.Write(buf)
 }
 
 // Close implements net.Conn.
@@ -62,11 +69,12 @@
 	if first && pc.onClose != nil {
 		pc.onClose(pc)
 	}
-	return pc.Conn.Close()
+	return pc.responseConn.Close()
 }
 
 // acquire records the start of a request and returns its number.
-func (pc *poolConn) acquire() uint64 {
+func (pc *poolConn) acquire(method string) uint64 {
+	pc.begin(method)
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pc.writeBegun = false
--- a/connector/silence.go
+++ b/connector/silence.go
@@ -62,7 +62,7 @@
 	up.retireAll()
 }
 
-// probe sends a request over a new connection; any response counts as success.
+// probe sends a request over a new connection; any proper response counts as success.
 func (up *UpstreamPool) probe() error {
 	ctx, cancel := context.WithTimeout(up.tomb.Context(nil), up.config.probeTimeout)
 	defer cancel()
@@ -77,7 +77,11 @@
 	if _, err := cn.Write([]byte(probeRequest)); err != nil {
 		return err
 	}
-	rsp, err := http.ReadResponse(bufio.NewReader(cn), nil)
+	checked := &scanReader{Reader: cn}
+	if err := checked.scanner.begin(false); err != nil {
+		return err
+	}
+	rsp, err := http.ReadResponse(bufio.NewReader(checked), nil)
 	if err != nil {
 		return err
 	}
--- a/connector/upstreampool.go
+++ b/connector/upstreampool.go
@@ -22,6 +22,7 @@
 // UpstreamPool sends requests to one upstream over a limited number of persistent HTTP/1.1 connections.
 // At the limit, a request waits for a connection to become free.
 // It uses no proxy, follows no redirect and never sends a request twice.
+// A response that is not proper HTTP/1.1 is a Failure; one whose body is not complete gives an error of the body's Read.
 // It is safe for concurrent use.
 //
 // Between Start and Stop it looks for silent connections: when a request has received no byte for
@@ -40,6 +41,7 @@
 	conns     map[*poolConn]struct{}
 	dials     *metrics.Counter
 	retired   *metrics.Counter
+	broken    *brokenResponses
 }
 
 var _ http.RoundTripper = (*UpstreamPool)(nil)
@@ -52,6 +54,7 @@
 	up.single.DisableKeepAlives = true
 	up.dials = counter(up.config.metrics, `gypsumhoist_connector_dials_total{kind="upstream"}`)
 	up.retired = counter(up.config.metrics, `gypsumhoist_connector_retired_total{kind="upstream"}`)
+	up.broken = newBrokenResponses(&up.config, "upstream", addr)
 	return up
 }
 
@@ -156,13 +159,22 @@
 	if err != nil {
 		return nil, err
 	}
-	pc := newPoolConn(cn, up.removeConn)
+	pc := newPoolConn(cn, up.removeConn, up.noteBroken)
 	up.mu.Lock()
 	up.conns[pc] = struct{}{}
 	up.mu.Unlock()
 	return pc, nil
 }
 
+// noteBroken reports a connection that can't be used further because of what was received on it.
+func (up *UpstreamPool) noteBroken(err error) {
+	if errors.Is(err, errUnsolicited) || errors.Is(err, errOverlap) {
+		up.config.logger.Log(eventConnFailed, "upstream", up.addr, "error", err)
+		return
+	}
+	up.broken.note(err)
+}
+
 func (up *UpstreamPool) removeConn(pc *poolConn) {
 	up.mu.Lock()
 	delete(up.conns, pc)
