connector, cmd, emulator: clients outside a node check responses, too

The command line and the emulated callers, upstreams and pass-through nodes read responses with net/http alone: a malformed or truncated answer of the operator port was printed as if it were complete, and an answer of more than 64 MiB was cut without an error.

CheckedTransport applies the check of UpstreamPool to an http.Transport, over TLS, too, and rejects responses that end with their connection, which no server of the project sends. The command line and the emulator use it.

--- a/cmd/gypsumhoist/fetch.go
+++ b/cmd/gypsumhoist/fetch.go
@@ -11,7 +11,7 @@
 	"github.com/gypsumhoist/gypsumhoist"
 )
 
-// answerBytesMax limits the body of an answer that fetch reads.
+// answerBytesMax limits the body of an answer; a longer one is an error, never cut.
 const answerBytesMax = 64 << 20
 
 // httpAnswer is an answer of the operator port to a plain HTTP request.
@@ -37,10 +37,13 @@
 		return httpAnswer{}, fmt.Errorf("no answer from the operator port %s (choose another instance with --at): %w", of.At, err)
 	}
 	defer rs.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(rs.Body, answerBytesMax))
+	body, err := io.ReadAll(io.LimitReader(rs.Body, answerBytesMax+1))
 	if err != nil {
 		return httpAnswer{}, fmt.Errorf("the answer of %s broke off: %w", of.At, err)
 	}
+	if len(body) > answerBytesMax {
+		return httpAnswer{}, fmt.Errorf("the answer of %s is longer than %d bytes", of.At, answerBytesMax)
+	}
 	return httpAnswer{status: rs.StatusCode, body: body}, nil
 }
 
--- a/cmd/gypsumhoist/operator.go
+++ b/cmd/gypsumhoist/operator.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/gypsumhoist/gypsumhoist/connector"
 	"github.com/gypsumhoist/gypsumhoist/registrar/registrarpb"
 )
 
@@ -91,7 +92,7 @@
 		transport.TLSClientConfig = cf
 		scheme = "https"
 	}
-	return &http.Client{Transport: transport}, scheme + "://" + of.At.String(), nil
+	return &http.Client{Transport: connector.NewCheckedTransport(transport)}, scheme + "://" + of.At.String(), nil
 }
 
 func (of *operatorFlags) tlsConfig() (*tls.Config, error) {
--- a/connector/broken_response_test.go
+++ b/connector/broken_response_test.go
@@ -277,6 +277,8 @@
 				_, body, err := exchange(up, method)
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(body).To(Equal("body"))
+				// The next request is not sent before the pool has seen that the upstream closed the connection.
+				time.Sleep(time.Millisecond)
 			}
 		}))
 	}
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -197,19 +197,24 @@
 	}
 }
 
-// Client returns an HTTP client on the callers' network, with its own connection pool.
+// Client returns an HTTP client on the callers' network, with its own connection pool. It takes proper and complete responses only.
 func (fl *Fleet) Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: connector.NewCheckedTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			ap, err := netip.ParseAddrPort(addr)
 			if err != nil {
 				return nil, err
 			}
-			return fl.callerNetwork.Dial(ctx, ap)
+			return fl.Dial(ctx, ap)
 		},
 		MaxIdleConnsPerHost: clientIdleConns,
 		IdleConnTimeout:     time.Minute,
-	}}
+	})}
+}
+
+// Dial opens a connection on the callers' network.
+func (fl *Fleet) Dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	return fl.callerNetwork.Dial(ctx, addr)
 }
 
 // clientIdleConns is the maximum of idle connections that a client keeps to each node.
--- a/emulator/passthrough.go
+++ b/emulator/passthrough.go
@@ -38,7 +38,9 @@
 	}
 	return &PassThrough{
 		routes: routes, random: rand.New(rand.NewPCG(seed, seed)),
-		client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: clientIdleConns, IdleConnTimeout: time.Minute}},
+		client: &http.Client{Transport: connector.NewCheckedTransport(&http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: clientIdleConns, IdleConnTimeout: time.Minute,
+		})},
 	}
 }
 
--- a/emulator/upstream.go
+++ b/emulator/upstream.go
@@ -133,11 +133,11 @@
 	up.falseLoad.Store(-1)
 	up.state.Store(announcer.StateReady)
 	up.slotSemaphore = make(chan struct{}, up.slots)
-	up.client = &http.Client{Transport: &http.Transport{
+	up.client = &http.Client{Transport: connector.NewCheckedTransport(&http.Transport{
 		DialContext:         up.dialNode,
 		MaxIdleConnsPerHost: up.slots,
 		IdleConnTimeout:     time.Minute,
-	}}
+	})}
 	return up
 }
 
