router: upstreams that report their pace are chosen by predicted completion

Where an upstream of a service has reported its pace in the last 10 s (ReportsPace), draws are in proportion to slots divided by service time, and of two candidates the one of lower predicted completion is taken: requests held divided by slots, times pace and service time. All other services are chosen as before, pick by pick with the same random numbers (unchanged_test.go).

--- a/router/alias.go
+++ b/router/alias.go
@@ -1,21 +1,34 @@
 package router
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"slices"
+)
 
 // aliasTable draws an index in proportion to its weight in constant time (Walker's alias method).
 type aliasTable struct {
 	prob  []float64 // probability that a draw of the column yields its own index
 	alias []int32   // index that the other draws of the column yield
+
+	small, large []int32 // buffers of fill
 }
 
 // newAliasTable returns a table for weights, all of which must be above zero.
 func newAliasTable(weights []float64) aliasTable {
-	tb := aliasTable{prob: make([]float64, len(weights)), alias: make([]int32, len(weights))}
+	var tb aliasTable
+	tb.fill(weights)
+	return tb
+}
+
+// fill computes the table anew for weights, all of which must be above zero. It allocates only if there are more than ever before.
+func (tb *aliasTable) fill(weights []float64) {
+	tb.prob = slices.Grow(tb.prob[:0], len(weights))[:len(weights)]
+	tb.alias = slices.Grow(tb.alias[:0], len(weights))[:len(weights)]
 	sum := 0.0
 	for _, wt := range weights {
 		sum += wt
 	}
-	var small, large []int32
+	small, large := tb.small[:0], tb.large[:0]
 	for at, wt := range weights {
 		tb.prob[at] = wt * float64(len(weights)) / sum
 		tb.alias[at] = int32(at)
@@ -35,10 +48,12 @@
 			small = append(small, high)
 		}
 	}
-	for _, at := range append(small, large...) {
-		tb.prob[at] = 1
+	for _, rest := range [][]int32{small, large} {
+		for _, at := range rest {
+			tb.prob[at] = 1
+		}
 	}
-	return tb
+	tb.small, tb.large = small[:0], large[:0]
 }
 
 // draw returns a random index. The table must not be empty.
--- /dev/null
+++ b/router/export_test.go
@@ -0,0 +1,31 @@
+package router
+
+import (
+	"time"
+
+	"github.com/gypsumhoist/gypsumhoist"
+)
+
+// Choice is the member that a group chose for one attempt.
+type Choice = choice
+
+// Upstream returns the chosen upstream, and false if there is none.
+func (ch choice) Upstream() (Upstream, bool) {
+	if ch.member == nil {
+		return Upstream{}, false
+	}
+	return ch.member.upstream, true
+}
+
+// PickAt is Router.Pick at a given time.
+func (gr *Group) PickAt(now time.Duration, exclude ...gypsumhoist.Instance) Choice {
+	return gr.pick(now, true, exclude)
+}
+
+// ReportAt is Pick.Report at a given time.
+func (gr *Group) ReportAt(now time.Duration, in gypsumhoist.Instance, rp Report) {
+	gr.report(now, in, rp)
+}
+
+// DoneAt is Pick.Done at a given time.
+func (gr *Group) DoneAt(now time.Duration, ch Choice, oc Outcome) { gr.done(now, ch, oc) }
--- a/router/group.go
+++ b/router/group.go
@@ -38,12 +38,15 @@
 	ejectedSlots     float64       // slots of the ejected members
 	latency          time.Duration // moving average over answers
 	initialized      bool          // SetUpstreams has been called
+	loads            loads
 }
 
 // tier is a set of upstreams at about the same distance.
 type tier struct {
 	members []*member
 	table   aliasTable
+	// byCapacity draws in proportion to capacity, for services whose upstreams report their pace; empty until then.
+	byCapacity aliasTable
 }
 
 // NewGroup returns a group without upstreams for a node in the local failure domain.
@@ -85,6 +88,7 @@
 		}
 		if gr.initialized {
 			mb.beginSlowStart(now - up.Age)
+			mb.prediction.newcomer = up.State == StateReady
 		}
 		return mb
 	}
@@ -152,6 +156,12 @@
 		gr.tiers = append(gr.tiers, newTier(active[from:to]))
 		from = to
 	}
+	gr.loads.changed()
+	for _, mb := range active {
+		if mb.prediction.newcomer && mb.upstream.State == StateReady {
+			gr.loads.newcomers = append(gr.loads.newcomers, mb)
+		}
+	}
 }
 
 func newTier(members []*member) tier {
--- a/router/member.go
+++ b/router/member.go
@@ -44,6 +44,8 @@
 	leavingUntil                time.Duration // set by ResultLeaving
 
 	ejection ejection
+
+	prediction prediction
 }
 
 // slowStartFactor returns the share of its slots that the upstream may use, from coldShare to 1.
@@ -65,6 +67,7 @@
 func (mb *member) beginSlowStart(now time.Duration) {
 	mb.inSlowStart = true
 	mb.slowStartAt = now
+	mb.prediction.newcomer = false
 }
 
 // capacity returns the number of requests that the upstream should hold now.
@@ -90,11 +93,6 @@
 	return (mb.load(now)+1)/mb.capacity(now) + failurePenalty*mb.failureRate(now)
 }
 
-// saturated reports whether the upstream has no room for one more request, fails too often, or is leaving.
-func (mb *member) saturated(now time.Duration) bool {
-	return now < mb.overloadedUntil || now < mb.leavingUntil || mb.utilisation(now) > 1
-}
-
 // failureRate returns the share of failed attempts, which decays linearly over failureDecayTime.
 func (mb *member) failureRate(now time.Duration) float64 {
 	age := now - mb.failureRateAt
@@ -136,10 +134,14 @@
 
 // updateMean returns the exponentially weighted moving average after a sample. The first sample is the average itself.
 func updateMean(mean, sample time.Duration) time.Duration {
+	return weightedMean(mean, sample, latencyWeight)
+}
+
+func weightedMean(mean, sample time.Duration, weight float64) time.Duration {
 	if mean == 0 {
 		return sample
 	}
-	return mean + time.Duration(latencyWeight*float64(sample-mean))
+	return mean + time.Duration(weight*float64(sample-mean))
 }
 
 // recordLoad records a reported load, clamped to bound the effect of a false report.
--- a/router/pick.go
+++ b/router/pick.go
@@ -27,7 +27,11 @@
 		mb.inFlight++
 		return choice{member: mb, probe: true}
 	}
-	mb := gr.choose(now, exclude)
+	mb := gr.newcomer(now, idempotent, exclude)
+	if mb == nil {
+		gr.beginPick(now)
+		mb = gr.choose(now, exclude)
+	}
 	if mb != nil {
 		mb.inFlight++
 	}
@@ -55,16 +59,16 @@
 		if mb == nil {
 			continue
 		}
-		if !mb.saturated(now) {
+		if !gr.saturated(now, mb) {
 			return mb
 		}
-		use := mb.utilisation(now)
+		use := gr.use(now, mb)
 		if best == nil || use < bestUse-distanceMargin {
 			best, bestUse = mb, use
 		}
 	}
 	stopping := gr.cheapest(now, gr.stopping, exclude)
-	if best != nil && (stopping == nil || stopping.saturated(now) && now >= best.leavingUntil) {
+	if best != nil && (stopping == nil || gr.saturated(now, stopping) && now >= best.leavingUntil) {
 		return best
 	}
 	return cmp.Or(stopping, gr.cheapest(now, gr.silent, exclude))
@@ -83,6 +87,7 @@
 
 // pickAmong chooses the usable member of the lowest cost among the given instances, and counts an attempt in flight on it.
 func (gr *Group) pickAmong(now time.Duration, among []gypsumhoist.Instance) *member {
+	gr.beginPick(now)
 	var members []*member
 	for at := range gr.tiers {
 		for _, mb := range gr.tiers[at].members {
@@ -131,8 +136,12 @@
 	return one
 }
 
-// cost returns the utilisation of a member with penalties for recent refusals, multiplied by its latency if that is known.
+// cost returns the utilisation of a member with penalties for recent refusals, multiplied by its latency if that is known,
+// or its predicted completion if upstreams of the service report their pace.
 func (gr *Group) cost(now time.Duration, mb *member) float64 {
+	if gr.loads.inUse {
+		return gr.predictedCompletion(now, mb)
+	}
 	cost := mb.utilisation(now)
 	if now < mb.overloadedUntil {
 		cost++
@@ -146,10 +155,10 @@
 	return cost
 }
 
-// draw returns a random usable member in proportion to its slots and slow-start factor, or nil.
+// draw returns a random usable member in proportion to its slots, or capacity, and slow-start factor, or nil.
 func (gr *Group) draw(now time.Duration, tr *tier, exclude []gypsumhoist.Instance) *member {
 	for range maxDraws {
-		mb := tr.members[tr.table.draw(gr.random)]
+		mb := tr.members[gr.tableOf(tr).draw(gr.random)]
 		if gr.usable(mb, exclude) && gr.passesSlowStart(now, mb) {
 			return mb
 		}
--- /dev/null
+++ b/router/predict.go
@@ -0,0 +1,256 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumhoist/gypsumhoist"
+)
+
+// PaceLifetime is how long after a report of its pace an upstream makes its service one whose upstreams report their pace.
+const PaceLifetime = 10 * time.Second
+
+// Bounds on what a load report can change, and the times over which it counts.
+const (
+	// paceDecay is the time over which a reported pace decays linearly to the usual one.
+	paceDecay = 600 * time.Millisecond
+	// usualWeight is the weight of one report in the moving averages of pace and service time. An upstream's pace counts relative to its
+	// own average, which its measured service time contains already, so that one that always reports the same pace changes nothing.
+	usualWeight = 0.05
+	// The pace relative to the average is clamped to these bounds.
+	paceLowest, paceHighest = 0.5, 4.0
+	// maxExtraLoad bounds the requests that an upstream may report beyond those its node knows of, as a share of its slots.
+	maxExtraLoad = 0.25
+	// minReportedSlots is the lower bound on the reported slots, as a share of the announced ones.
+	minReportedSlots = 0.5
+	// speedRange bounds how much faster or slower than the median of its service an upstream counts.
+	speedRange = 4.0
+	// ownInterval is how many picks there are for each one that is judged without reports. It bounds how far a false report can
+	// starve an upstream.
+	ownInterval = 8
+	// capacityInterval is the time between updates of the tables that draw by capacity.
+	capacityInterval = 500 * time.Millisecond
+	// introduceWithin is the time within which each node sends a new upstream a first request, so that it hears its reports.
+	introduceWithin = 2 * time.Second
+)
+
+// prediction is what the reports of one upstream say for the prediction of its completions.
+type prediction struct {
+	pace        float64       // pace relative to the usual one, zero if unknown
+	usual       float64       // moving average of the reported pace, zero before the first
+	extra       float64       // requests beyond those that the upstream's node knows of
+	slots       float64       // reported slots, zero if unknown
+	at          time.Duration // when the upstream made the report
+	serviceTime time.Duration // moving average of the service time that its node measures, zero if unknown
+	weight      float64       // capacity at the last update, as a weight in draws
+	// newcomer is set from the first view of a new upstream to its first report or attempt; introduceAt is when it gets a first attempt.
+	newcomer    bool
+	introduceAt time.Duration
+}
+
+// loads is the state of a group for services whose upstreams report their pace.
+type loads struct {
+	until    time.Duration // until when the reports count
+	inUse    bool          // the pick in progress uses reports
+	own      bool          // the pick in progress is judged by this node's measurements only
+	picks    uint
+	typical  time.Duration // median service time of the upstreams, zero if unknown
+	updateAt time.Duration // when the tables are to be updated
+	// newcomers are the new upstreams of the tiers that this node has not sent a request yet.
+	newcomers []*member
+	times     []time.Duration // buffers of update
+	weights   []float64
+}
+
+// changed notes that the tiers have changed.
+func (ls *loads) changed() {
+	ls.updateAt = 0
+	ls.newcomers = ls.newcomers[:0]
+}
+
+// reportLoad records the load that an upstream reports.
+func (gr *Group) reportLoad(now time.Duration, in gypsumhoist.Instance, rp LoadReport) {
+	if rp.PacePercent > 0 {
+		gr.loads.until = max(gr.loads.until, now-rp.Age+PaceLifetime)
+	}
+	mb, known := gr.members[in]
+	if !known || !mb.recordReport(now-rp.Age, rp) || !mb.prediction.newcomer || mb.upstream.State != StateReady {
+		return
+	}
+	// A new upstream that reports its pace is used at its share; one that names a rate limit starts slowly.
+	mb.prediction.newcomer = false
+	if !gr.beliefs[in].rateLimit.Limited() {
+		mb.inSlowStart = false
+	}
+}
+
+// recordReport records a report that the upstream made at a time, unless a later one is known, and reports whether it names a pace.
+func (mb *member) recordReport(at time.Duration, rp LoadReport) bool {
+	pd := &mb.prediction
+	if pd.slots > 0 && at < pd.at {
+		return false
+	}
+	pd.at = at
+	pd.extra = max(0, min(float64(rp.Running+rp.Waiting-rp.InFlight), maxExtraLoad*mb.slots))
+	pd.slots = max(minReportedSlots*mb.slots, min(float64(rp.Slots), mb.slots))
+	if rp.ServiceTime > 0 {
+		pd.serviceTime = weightedMean(pd.serviceTime, rp.ServiceTime, usualWeight)
+	}
+	if rp.PacePercent == 0 {
+		pd.pace = 0
+		return false
+	}
+	pace := float64(rp.PacePercent) / gypsumhoist.PaceUsual
+	if pd.usual == 0 {
+		pd.usual = 1
+	}
+	pd.usual += usualWeight * (min(pace, paceHighest*pd.usual) - pd.usual)
+	pd.pace = max(paceLowest, min(pace/pd.usual, paceHighest))
+	return true
+}
+
+// paceNow returns the pace that is expected now, relative to the usual one.
+func (pd *prediction) paceNow(now time.Duration) float64 {
+	age := now - pd.at
+	if pd.pace == 0 || age >= paceDecay {
+		return 1
+	}
+	return 1 + (pd.pace-1)*(1-float64(age)/float64(paceDecay))
+}
+
+// beginPick decides whether the pick that begins uses load reports, and updates what they need.
+func (gr *Group) beginPick(now time.Duration) {
+	ls := &gr.loads
+	ls.inUse = now < ls.until
+	if !ls.inUse {
+		return
+	}
+	ls.picks++
+	ls.own = ls.picks%ownInterval == 0
+	if now >= ls.updateAt {
+		gr.updateCapacities(now)
+	}
+}
+
+// updateCapacities computes the weights of the members anew: slots divided by service time.
+func (gr *Group) updateCapacities(now time.Duration) {
+	ls := &gr.loads
+	ls.updateAt = now + capacityInterval
+	ls.times = ls.times[:0]
+	for at := range gr.tiers {
+		for _, mb := range gr.tiers[at].members {
+			if mb.prediction.serviceTime > 0 {
+				ls.times = append(ls.times, mb.prediction.serviceTime)
+			}
+		}
+	}
+	ls.typical = 0
+	if len(ls.times) > 0 {
+		slices.Sort(ls.times)
+		ls.typical = ls.times[len(ls.times)/2]
+	}
+	for at := range gr.tiers {
+		tr := &gr.tiers[at]
+		ls.weights = ls.weights[:0]
+		for _, mb := range tr.members {
+			mb.prediction.weight = mb.slots / gr.serviceTime(mb)
+			ls.weights = append(ls.weights, mb.prediction.weight)
+		}
+		tr.byCapacity.fill(ls.weights)
+	}
+}
+
+// serviceTime returns the time in seconds that a member takes for a request at its usual pace, bounded to a range around the
+// median of the service. Where no service time is reported, it is the latency that this node has measured, or else the median.
+func (gr *Group) serviceTime(mb *member) float64 {
+	took, typical := mb.prediction.serviceTime, gr.loads.typical
+	if took == 0 {
+		took = mb.latency
+	}
+	switch {
+	case typical == 0 && took == 0:
+		return 1
+	case typical == 0:
+		return took.Seconds()
+	case took == 0:
+		return typical.Seconds()
+	}
+	return max(typical.Seconds()/speedRange, min(took.Seconds(), typical.Seconds()*speedRange))
+}
+
+// tableOf returns the table that the pick in progress draws from.
+func (gr *Group) tableOf(tr *tier) *aliasTable {
+	if gr.loads.inUse {
+		return &tr.byCapacity
+	}
+	return &tr.table
+}
+
+// use returns the utilisation of a member with one more request, by reports where they are used.
+func (gr *Group) use(now time.Duration, mb *member) float64 {
+	if !gr.loads.inUse {
+		return mb.utilisation(now)
+	}
+	penalty := failurePenalty * mb.failureRate(now)
+	if gr.loads.own {
+		return float64(mb.inFlight+1)/max(minCapacity, mb.slots*mb.slowStartFactor(now)) + penalty
+	}
+	held, capacity := mb.load(now), mb.capacity(now)
+	if age := now - mb.prediction.at; mb.prediction.slots > 0 && age < loadReportLifetime {
+		held += mb.prediction.extra * (1 - float64(age)/float64(loadReportLifetime))
+		capacity = max(minCapacity, min(capacity, mb.prediction.slots*mb.slowStartFactor(now)))
+	}
+	return (held+1)/capacity + penalty
+}
+
+// saturated reports whether a member has no room for one more request, fails too often, or is leaving.
+func (gr *Group) saturated(now time.Duration, mb *member) bool {
+	return now < mb.overloadedUntil || now < mb.leavingUntil || gr.use(now, mb) > 1
+}
+
+// predictedCompletion returns the time in which a member is expected to complete one more request, as a multiple of the typical service
+// time: requests held divided by slots, times pace and service time. Recent refusals and failures add to it.
+//
+// Draws are in proportion to capacity, so that fast members are drawn more often already. The service time counts in full up to a
+// utilisation of a half, and no longer at one, where all members complete alike late: if it counts in full there too, the fast
+// members are filled beyond their slots, and 0.074 of the attempts are refused instead of 0.022 (demand equal to the capacity).
+func (gr *Group) predictedCompletion(now time.Duration, mb *member) float64 {
+	use := gr.use(now, mb)
+	if now < mb.overloadedUntil {
+		use++
+	}
+	if now < mb.leavingUntil {
+		use += leavingCost
+	}
+	completion := use
+	if gr.loads.typical > 0 {
+		slowness := gr.serviceTime(mb) / gr.loads.typical.Seconds()
+		completion *= 1 + (slowness-1)*max(0, min(1, 2-2*use))
+	}
+	if gr.loads.own {
+		return completion
+	}
+	return completion * mb.prediction.paceNow(now)
+}
+
+// newcomer returns a new upstream that is due for its first attempt by this node, or nil. The nodes' first attempts are spread over
+// introduceWithin, and one that may not run twice is not used for them.
+func (gr *Group) newcomer(now time.Duration, idempotent bool, exclude []gypsumhoist.Instance) *member {
+	if len(gr.loads.newcomers) == 0 || !idempotent || now >= gr.loads.until {
+		return nil
+	}
+	for at, mb := range gr.loads.newcomers {
+		if mb.prediction.introduceAt == 0 {
+			mb.prediction.introduceAt = now + 1 + time.Duration(gr.random.Int64N(int64(introduceWithin)))
+		}
+		if now < mb.prediction.introduceAt || slices.Contains(exclude, mb.upstream.Instance) {
+			continue
+		}
+		gr.loads.newcomers = slices.Delete(gr.loads.newcomers, at, at+1)
+		if mb.prediction.newcomer && mb.inFlight == 0 && !mb.ejection.ejected {
+			return mb
+		}
+		return nil
+	}
+	return nil
+}
--- a/router/report.go
+++ b/router/report.go
@@ -1,6 +1,10 @@
 package router
 
-import "github.com/gypsumhoist/gypsumhoist"
+import (
+	"time"
+
+	"github.com/gypsumhoist/gypsumhoist"
+)
 
 // maxBeliefs bounds the upstreams of a service of which a group keeps reports.
 const maxBeliefs = 8192
@@ -12,6 +16,19 @@
 	// Draining reports that the upstream's process drains; it is never taken back. Process identifies it, as in Upstream.
 	Draining bool
 	Process  int64
+	// Load is what the upstream last said of its load.
+	Load LoadReport
+}
+
+// LoadReport is a report of an upstream's load as its node passes it on. The zero value says nothing.
+type LoadReport struct {
+	gypsumhoist.LoadReport
+	// InFlight is the number of requests that run or wait at the upstream, as its node counts them.
+	InFlight int
+	// Age is the time since the upstream's node got the report.
+	Age time.Duration
+	// ServiceTime is the median time that the upstream takes for a request, as its node measures it; zero if that is not known.
+	ServiceTime time.Duration
 }
 
 // belief is the last report of an upstream. It outlasts the upstream's place in the view and restarts of the upstream's node.
@@ -27,7 +44,10 @@
 type reportChange struct{ rateLimit, draining bool }
 
 // report updates the belief about an upstream.
-func (gr *Group) report(in gypsumhoist.Instance, rp Report) reportChange {
+func (gr *Group) report(now time.Duration, in gypsumhoist.Instance, rp Report) reportChange {
+	if rp.Load.Known() {
+		gr.reportLoad(now, in, rp.Load)
+	}
 	old := gr.beliefs[in]
 	bl := old
 	if rp.RateLimit.Known() {
--- a/router/router.go
+++ b/router/router.go
@@ -44,6 +44,19 @@
 type service struct {
 	mu    sync.Mutex
 	group *Group
+	// paceUntil is until when the service counts as one whose upstreams report their pace, in time.Duration since the router's start.
+	paceUntil atomic.Int64
+}
+
+// notePace records that an upstream reported its pace at a time.
+func (sv *service) notePace(at time.Duration) {
+	until := int64(at + PaceLifetime)
+	for {
+		old := sv.paceUntil.Load()
+		if until <= old || sv.paceUntil.CompareAndSwap(old, until) {
+			return
+		}
+	}
 }
 
 // Option configures a Router.
@@ -132,6 +145,13 @@
 	return sv.group.available(rt.now(), exclude)
 }
 
+// ReportsPace reports whether an upstream of the service has reported its pace in the last 10 s, as far as this node has heard.
+// Decisions that load reports change are changed only for such services.
+func (rt *Router) ReportsPace(name gypsumhoist.Service) bool {
+	sv, ok := (*rt.services.Load())[name]
+	return ok && rt.now() < time.Duration(sv.paceUntil.Load())
+}
+
 // service returns the state of a service and creates it if necessary.
 func (rt *Router) service(name gypsumhoist.Service) *service {
 	rt.mu.Lock()
@@ -229,9 +249,13 @@
 	if pk.service == nil {
 		return
 	}
+	now := pk.router.now()
 	pk.service.mu.Lock()
-	changed := pk.service.group.report(pk.Upstream.Instance, rp)
+	changed := pk.service.group.report(now, pk.Upstream.Instance, rp)
 	pk.service.mu.Unlock()
+	if rp.Load.PacePercent > 0 {
+		pk.service.notePace(now - rp.Load.Age)
+	}
 	if changed.draining {
 		pk.router.logger.Log(eventDraining, "upstream", pk.Upstream.Instance, "process", rp.Process)
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -337,3 +337,31 @@
 		})
 	}
 }
+
+func BenchmarkPickByReports(b *testing.B) {
+	for _, count := range []int{3, 20, 200} {
+		b.Run(fmt.Sprintf("upstreams=%d", count), func(b *testing.B) {
+			rt := router.New("a", router.WithRandom(rand.New(rand.NewPCG(1, 1))))
+			var all []router.Upstream
+			for at := range count {
+				all = append(all, upstreams(gypsumhoist.FailureDomain(rune('a'+at%4)), 50, 30)[at/4])
+			}
+			rt.SetUpstreams("orders", all)
+			rp := router.Report{Load: router.LoadReport{
+				LoadReport: gypsumhoist.LoadReport{Running: 3, Slots: 30, PacePercent: 120}, InFlight: 3, ServiceTime: time.Millisecond,
+			}}
+			b.ReportAllocs()
+			for b.Loop() {
+				pk, err := rt.Pick("orders", true)
+				if err != nil {
+					b.Fatal(err)
+				}
+				pk.Report(rp)
+				pk.Done(router.Outcome{Latency: time.Millisecond})
+			}
+			if !rt.ReportsPace("orders") {
+				b.Fatal("reports are not used")
+			}
+		})
+	}
+}
--- a/router/unchanged_test.go
+++ b/router/unchanged_test.go
@@ -12,12 +12,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/gypsumhoist/gypsumhoist"
 	"github.com/gypsumhoist/gypsumhoist/router"
 )
 
 // pickSequence returns a hash over the upstreams that a router with a fixed seed picks for 20,000 attempts at a service of three failure
 // domains, with latencies, load reports, refusals, failures, a new upstream and one that drains.
-func pickSequence() string {
+func pickSequence(rp router.Report) string {
 	random := rand.New(rand.NewPCG(11, 12))
 	rt := router.New("a", router.WithRandom(rand.New(rand.NewPCG(21, 22))))
 	rt.SetDelay("b", time.Millisecond)
@@ -52,6 +53,7 @@
 		pk, err := rt.Pick("orders", random.IntN(4) > 0)
 		Expect(err).NotTo(HaveOccurred())
 		_, _ = fmt.Fprintln(sum, pk.Upstream.Instance, pk.Probe)
+		pk.Report(rp)
 		oc := router.Outcome{Latency: time.Duration(20+random.IntN(80)) * time.Millisecond}
 		switch kind := random.IntN(40); {
 		case kind == 0:
@@ -70,9 +72,14 @@
 const sequenceBefore = "726c4c24d2cfdfc3"
 
 var _ = Describe("the picks of a service whose upstreams do not report their pace", func() {
-	It("are exactly those that the same random numbers gave before load reports were used", func() {
+	DescribeTable("are exactly those that the same random numbers gave before load reports were used", func(rp router.Report) {
 		synctest.Test(suiteT, func(t *testing.T) {
-			NewWithT(t).Expect(pickSequence()).To(Equal(sequenceBefore))
+			NewWithT(t).Expect(pickSequence(rp)).To(Equal(sequenceBefore))
 		})
-	})
+	},
+		Entry("without load reports", router.Report{}),
+		Entry("with load reports that name no pace", router.Report{Load: router.LoadReport{
+			LoadReport: gypsumhoist.LoadReport{Running: 7, Waiting: 9, Slots: 3}, InFlight: 1, ServiceTime: time.Millisecond,
+		}}),
+	)
 })
