forwarder: nodes pass on the load that their upstream reports, with its age

The last valid report is kept at the upstream's node for 10 s and passed on in Feedback.load with its age and the median service time that the node measures. The field is absent if nothing is known, as from older builds.

Tests: go test . ./platform ./router ./forwarder.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -162,6 +162,7 @@
 func reportOf(fb *forwarderpb.Feedback) router.Report {
 	return router.Report{
 		RateLimit: gypsumhoist.RateLimitOfMilli(fb.RateLimitMilli), Draining: fb.DrainingProcess != nil, Process: fb.GetDrainingProcess(),
+		Load: loadReportOf(fb),
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -91,6 +91,7 @@
 	started   time.Time
 	transport Upstream
 	draining  atomic.Bool // an answer said that the upstream drains
+	load      atomic.Pointer[receivedLoad]
 }
 
 // Observation is the outcome of one request of a caller, for service-level reports.
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -87,6 +87,7 @@
 		Tag: answerTag(hop), Budget: int32(unspent),
 		InFlight: int32(ld.InFlight + ld.Waiting), Limit: int32(ld.Limit), CutOff: int32(ld.CutOff),
 		RouteCutOff: int32(cut), RouteCutOffAgeUs: age.Microseconds(), RateLimitMilli: ld.RateLimit.Milli(), DrainingProcess: fw.drainingProcess(),
+		Load: fw.loadMessage(ld.ServiceTime),
 	}
 }
 
