registrar, server: domains without upstreams can always be evacuated; specs of the control instances

Only the evacuation of a domain that may have upstreams can leave none; one of control instances alone was refused too if every other domain was evacuated. Specs: each control instance acknowledges, leader or not; a control instance that falls silent 50 ms before the order.

--- a/registrar/evacuation.go
+++ b/registrar/evacuation.go
@@ -73,9 +73,9 @@
 	}
 }
 
-// leavesNone reports whether, with one further domain evacuated, all serving domains would be.
+// leavesNone reports whether the evacuation of a serving domain would leave no other one. That of a domain without upstreams moves nothing.
 func (ev evacuations) leavesNone(dm gypsumhoist.FailureDomain, serving []gypsumhoist.FailureDomain) bool {
-	return !slices.ContainsFunc(serving, func(other gypsumhoist.FailureDomain) bool { return other != dm && !ev.domains[other].evacuated })
+	return slices.Contains(serving, dm) && !slices.ContainsFunc(serving, func(other gypsumhoist.FailureDomain) bool { return other != dm && !ev.domains[other].evacuated })
 }
 
 func (st *State) evacuateDomain(ms *registrarpb.EvacuateDomain) Answer {
@@ -151,7 +151,7 @@
 	return ee, ok
 }
 
-// evacuationLeavesNone reports whether all serving domains are evacuated, apart from the given one. The receiver may be nil.
+// evacuationLeavesNone reports whether the evacuation of a domain would leave no other serving one. The receiver may be nil.
 func (tb *Table) evacuationLeavesNone(dm gypsumhoist.FailureDomain, serving []gypsumhoist.FailureDomain) bool {
 	ev := evacuations{}
 	if tb != nil {
--- a/registrar/evacuation_test.go
+++ b/registrar/evacuation_test.go
@@ -217,6 +217,15 @@
 			as, err := c0.operators.Evacuate(ctx, "d0", false)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(as.Outcome).To(Equal(registrar.OutcomeRefused))
+			as, err = c0.operators.Evacuate(ctx, "d1", false)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(as.Outcome).To(Equal(registrar.OutcomeAccepted), "no request goes there anyway")
+			c0.operators.SetSources([]registrar.Source{
+				{Instance: "c1", Domain: "d2", ControlOnly: true}, {Instance: "c2", Domain: "d2", ControlOnly: true}, {Instance: "c3", Domain: "d2", ControlOnly: true},
+			})
+			as, err = c0.operators.Evacuate(ctx, "d0", false)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(as.Outcome).To(Equal(registrar.OutcomeAccepted), "d2 may have instances that are not known here")
 		})
 	})
 
--- a/server/evacuation_test.go
+++ b/server/evacuation_test.go
@@ -265,6 +265,35 @@
 		ef.expectAllAnswered()
 	}))
 
+	// Guards against an order that only the leader of the log takes: an operator sends it to any control instance.
+	ginkgo.It("is acknowledged by each control instance within a second", withEvacuationFleet(func(ef *evacuationFleet) {
+		for _, in := range ef.controls() {
+			for _, restore := range []bool{false, false, true, true} {
+				began := time.Now()
+				as, err := ef.fleet.Process(in).Server.OperatorService().Evacuate(context.Background(), dm, restore)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(as.Outcome).To(Equal(registrar.OutcomeAccepted))
+				Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+			}
+		}
+		time.Sleep(2 * time.Second)
+		for _, in := range ef.fleet.Names() {
+			Expect(ef.evacuatedAt(in)).To(BeEmpty())
+		}
+	}))
+
+	// Guards against nodes that wait for a source of the table that has fallen silent, and go on sending meanwhile.
+	ginkgo.It("is in force in time though a control instance falls silent just before", withEvacuationFleet(func(ef *evacuationFleet) {
+		silent := ef.controls()[1]
+		Expect(domainOf(ef.fleet, silent)).NotTo(Equal(dm))
+		ef.network.CutBoth(ef.addresses(silent))
+		time.Sleep(50 * time.Millisecond)
+		_, took := ef.order(dm, false)
+		acknowledged := time.Now()
+		ginkgo.AddReportEntry(fmt.Sprintf("acknowledged after %s, last request to the domain %s after the acknowledgement", took, ef.expectEmpty(dm, acknowledged)))
+		ef.network.HealBoth(ef.addresses(silent))
+	}))
+
 	// Guards against an evacuation that is lost, or carried out twice, with the instance that accepted it.
 	ginkgo.It("outlasts the control instance that dies between the log and the acknowledgement, and a resend is accepted", withEvacuationFleet(func(ef *evacuationFleet) {
 		leader := ef.leases.current()
@@ -296,24 +325,14 @@
 
 	// Guards against a node that comes back with the table from before the evacuation and goes on under it.
 	ginkgo.It("reaches a node that was cut off when it comes back", withEvacuationFleet(func(ef *evacuationFleet) {
-		specs := ef.fleet.InstanceSpecs()
-		var one, others []netip.Addr
-		for _, sp := range specs {
-			switch {
-			case sp.Settings.Instance == ef.fleet.Names()[len(specs)-1]:
-				one = append(one, sp.Address())
-			default:
-				others = append(others, sp.Address())
-			}
-		}
-		lost := ef.fleet.Names()[len(specs)-1]
-		ef.network.CutBoth(one, others)
+		lost := ef.fleet.Names()[len(ef.fleet.Names())-1]
+		ef.network.CutBoth(ef.addresses(lost))
 		time.Sleep(time.Second)
 		_, _ = ef.order(dm, false)
 		acknowledged := time.Now()
 		ef.expectEmpty(dm, acknowledged)
 		Expect(ef.evacuatedAt(lost)).To(BeEmpty())
-		ef.network.HealBoth(one, others)
+		ef.network.HealBoth(ef.addresses(lost))
 		healed := time.Now()
 		for len(ef.evacuatedAt(lost)) == 0 {
 			Expect(time.Since(healed)).To(BeNumerically("<", evacuationWithin))
@@ -425,6 +444,18 @@
 	}))
 })
 
+// addresses returns the address of an instance and those of all others, as the two sides of a partition.
+func (ef *evacuationFleet) addresses(in gypsumhoist.Instance) (one, others []netip.Addr) {
+	for _, sp := range ef.fleet.InstanceSpecs() {
+		if sp.Settings.Instance == in {
+			one = append(one, sp.Address())
+			continue
+		}
+		others = append(others, sp.Address())
+	}
+	return one, others
+}
+
 // work returns what runs in a domain, as an operator reads it.
 func (ef *evacuationFleet) work(dm gypsumhoist.FailureDomain) server.DomainWork {
 	ginkgo.GinkgoHelper()
