server: the evacuation spec checks that no node tries an evacuated domain

Without the router's part the spec passed, as the nodes of the domain refuse and the requests go on elsewhere.

--- a/server/evacuation_test.go
+++ b/server/evacuation_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"os"
+	"regexp"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -254,6 +257,10 @@
 		Expect(took).To(BeNumerically("<", time.Second))
 		ginkgo.AddReportEntry(fmt.Sprintf("acknowledged after %s, last request to the domain %s after the acknowledgement", took, ef.expectEmpty(dm, acknowledged)))
 		ef.expectAllAnswered()
+		// No node tries: each call takes one attempt, apart from those in flight when the counts are read.
+		picks, calls := ef.picks(), ef.calls()
+		time.Sleep(3 * time.Second)
+		Expect(ef.picks() - picks).To(BeNumerically("<=", ef.calls()-calls+len(ef.fleet.Names())))
 		dw := ef.work(dm)
 		Expect(dw.Evacuated).To(BeTrue())
 		Expect(dw.Instances).To(HaveLen(4))
@@ -456,6 +463,36 @@
 	return one, others
 }
 
+// picks returns how many attempts the routers of all instances have made.
+func (ef *evacuationFleet) picks() int {
+	ginkgo.GinkgoHelper()
+	sum := 0
+	for _, sp := range ef.fleet.InstanceSpecs() {
+		rs, err := ef.client.Get(fmt.Sprintf("http://%s/metrics", sp.Settings.Listen.Operator))
+		Expect(err).NotTo(HaveOccurred())
+		text, err := io.ReadAll(rs.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rs.Body.Close()).To(Succeed())
+		found := regexp.MustCompile(`(?m)^gypsumhoist_router_picks_total (\d+)$`).FindSubmatch(text)
+		Expect(found).To(HaveLen(2))
+		count, err := strconv.Atoi(string(found[1]))
+		Expect(err).NotTo(HaveOccurred())
+		sum += count
+	}
+	return sum
+}
+
+// calls returns how many calls have ended.
+func (ef *evacuationFleet) calls() int {
+	ef.mu.Lock()
+	defer ef.mu.Unlock()
+	sum := 0
+	for _, count := range ef.statuses {
+		sum += count
+	}
+	return sum
+}
+
 // work returns what runs in a domain, as an operator reads it.
 func (ef *evacuationFleet) work(dm gypsumhoist.FailureDomain) server.DomainWork {
 	ginkgo.GinkgoHelper()
