admitter, forwarder: calls of requests that have been served in part go first

A request whose calls to a scarce service are made one after the other failed at any of them: the refusals hit its fourth call as well as its first, after the scarce service had worked for it. A call now says whether an earlier one of its request was answered (Hop.committed, field 50, only for services that report their pace; absent is false). Such calls wait before others of their importance and are not refused jointly; the level of joint refusal decides which requests begin.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -299,6 +299,7 @@
 		Depth:      rq.Depth,
 		Precedence: rq.Precedence,
 		Siblings:   rq.Siblings,
+		Committed:  rq.Committed,
 		MaxWait:    rq.MaxWait,
 	}
 	if !rq.Deadline.IsZero() {
--- a/admitter/api.go
+++ b/admitter/api.go
@@ -20,6 +20,9 @@
 	Precedence Precedence
 	// Siblings reports that this is one of several calls of a request, which fails with the first of them that is refused.
 	Siblings bool
+	// Committed reports that an earlier call of its request was answered, whose work is lost if this one is refused: it goes before
+	// calls of its importance that are not.
+	Committed bool
 	// MaxWait limits how long the request may wait while it is among the least important; zero leaves that to the admitter.
 	MaxWait time.Duration
 	// Deadline is when the complete answer is due; the zero time means no deadline.
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -23,6 +23,8 @@
 	Precedence Precedence
 	// Siblings reports that this is one of several calls of a request, which fails with the first of them that is refused.
 	Siblings bool
+	// Committed reports that an earlier call of its request was answered, whose work is lost if this one is refused.
+	Committed bool
 	// MaxWait limits how long the request may wait while it is among the least important; zero leaves that to the core.
 	MaxWait time.Duration
 
@@ -120,7 +122,7 @@
 	// A free slot is refused only if the request would miss its deadline at the shortest service time.
 	needed := co.times.shortest(rq.Route)
 	if !free {
-		needed = co.times.low(rq.Route) + co.queueDelay(rk)
+		needed = co.times.low(rq.Route) + co.queueDelay(orderOf(rq))
 	}
 	if co.missesDeadline(now, rq.Deadline, needed) {
 		if rq.Deadline <= now || !co.times.probe(now, rq.Route) {
--- a/admitter/flow.go
+++ b/admitter/flow.go
@@ -71,6 +71,7 @@
 // its weight, and the lowest tag is next. A flow that was empty may catch up by catchUpTurns.
 type class struct {
 	rank        rank
+	order       order
 	flows       map[gypsumhoist.Workspace]*flow
 	byTag       flowHeap // lowest tag first
 	byLastTag   flowHeap // highest last tag first
@@ -86,9 +87,10 @@
 // idleFlowsMax is how many empty flows a class keeps for their tags.
 const idleFlowsMax = 256
 
-func newClass(rk rank) *class {
+func newClass(rk rank, or order) *class {
 	return &class{
 		rank:  rk,
+		order: or,
 		flows: map[gypsumhoist.Workspace]*flow{},
 		byTag: flowHeap{
 			less:  func(fa, fb *flow) bool { return fa.tag < fb.tag },
--- a/admitter/joint.go
+++ b/admitter/joint.go
@@ -31,15 +31,19 @@
 	shares           shares
 }
 
-// arrive counts a call and reports whether it is below the level.
+// arrive counts a call and reports whether it is below the level. Committed calls never are, and the level doesn't move by them: it
+// decides which requests begin.
 func (jr *jointRefusal) arrive(now time.Duration, rq CoreRequest, free bool) bool {
 	jr.advance(now)
 	rk := rankOf(rq.Importance, rq.Depth)
-	jr.arrivals[rk]++
 	jr.arrivedCalls++
 	if !free {
 		jr.noSlotCalls++
 	}
+	if rq.Committed {
+		return false
+	}
+	jr.arrivals[rk]++
 	excess := jr.shares.excess(rq.Workspace, float64(clipWeight(rq.Weight)))
 	if jr.level > 0 && priorityIn(rk, rq.Precedence, excess) < jr.level {
 		return true
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -3,12 +3,35 @@
 import (
 	"math/bits"
 	"time"
+
+	"github.com/gypsumhoist/gypsumhoist"
+)
+
+// order is the place of a request among those that wait: by rank, and of nested calls the committed ones before the others.
+type order int
+
+const (
+	ordersPerImportance = 3
+	orderCount          = ordersPerImportance * (int(gypsumhoist.ImportanceMax) + 1)
 )
 
+func orderOf(rq CoreRequest) order {
+	im := max(gypsumhoist.ImportanceMin, min(rq.Importance, gypsumhoist.ImportanceMax))
+	or := order(ordersPerImportance * im)
+	switch {
+	case rq.Depth == 0:
+		return or
+	case rq.Committed:
+		return or + 2
+	default:
+		return or + 1
+	}
+}
+
 // queue holds the waiting requests by rank.
 type queue struct {
-	classes  [rankCount]*class
-	occupied [(rankCount + 63) / 64]uint64 // one bit for each class, set if it holds a request
+	classes  [orderCount]*class
+	occupied [(orderCount + 63) / 64]uint64 // one bit for each class, set if it holds a request
 	byID     map[ID]*waiter
 	// first and last are the ends of the list of all requests in order of arrival.
 	first *waiter
@@ -25,12 +48,12 @@
 	if qu.len() == 0 {
 		qu.nonEmptySince = now
 	}
-	rk := rankOf(rq.Importance, rq.Depth)
-	if qu.classes[rk] == nil {
-		qu.classes[rk] = newClass(rk)
+	or := orderOf(rq)
+	if qu.classes[or] == nil {
+		qu.classes[or] = newClass(rankOf(rq.Importance, rq.Depth), or)
 	}
-	qu.classes[rk].add(wt, rq.Workspace, clipWeight(rq.Weight))
-	qu.occupied[rk/64] |= 1 << (rk % 64)
+	qu.classes[or].add(wt, rq.Workspace, clipWeight(rq.Weight))
+	qu.occupied[or/64] |= 1 << (or % 64)
 	qu.byID[wt.id] = wt
 	wt.prev = qu.last
 	if qu.last != nil {
@@ -47,7 +70,7 @@
 	delete(qu.byID, wt.id)
 	qu.unlink(wt)
 	if cl.length == 0 {
-		qu.occupied[cl.rank/64] &^= 1 << (cl.rank % 64)
+		qu.occupied[cl.order/64] &^= 1 << (cl.order % 64)
 	}
 }
 
@@ -85,13 +108,13 @@
 	return nil
 }
 
-// above counts the requests of higher rank.
-func (qu *queue) above(rk rank) int {
+// above counts the requests that go before those of an order.
+func (qu *queue) above(or order) int {
 	sum := 0
-	for index := len(qu.occupied) - 1; index >= int(rk)/64; index-- {
+	for index := len(qu.occupied) - 1; index >= int(or)/64; index-- {
 		for word := qu.occupied[index]; word != 0; {
 			top := 63 - bits.LeadingZeros64(word)
-			if rank(64*index+top) <= rk {
+			if order(64*index+top) <= or {
 				return sum
 			}
 			sum += qu.classes[64*index+top].length
--- a/admitter/shed.go
+++ b/admitter/shed.go
@@ -119,9 +119,9 @@
 	return co.inFlight > 0 && now+needed >= deadline
 }
 
-// queueDelay returns the least time that a request of a rank waits for those of higher rank.
-func (co *Core) queueDelay(rk rank) time.Duration {
-	ahead := co.queue.above(rk)
+// queueDelay returns the least time that a request of an order waits for those before it.
+func (co *Core) queueDelay(or order) time.Duration {
+	ahead := co.queue.above(or)
 	if ahead == 0 {
 		return 0
 	}
--- a/authenticator/calls.go
+++ b/authenticator/calls.go
@@ -26,6 +26,8 @@
 	Repeat bool
 	// Siblings is set if this call, or one above it in its call chain, is one of several nested calls of the same call.
 	Siblings bool
+	// Committed is set if an earlier nested call of the same call, or of one above it in its call chain, was answered.
+	Committed bool
 
 	answered atomic.Int32
 	nested   atomic.Bool
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -159,6 +159,7 @@
 	sh := cl.budget.DrawShare()
 	at := &attempt{fw: fw, cl: cl, pick: pk, share: &sh, hop: cl.hop(pk, no, sh.Retries()), started: time.Now()}
 	at.hop.Siblings = fw.nestedStats.hasSiblings(cl.parent)
+	at.hop.Committed = cl.committed() && fw.reportsPace(cl.service)
 	at.hop.Repeat = retried || cl.parent != nil && cl.parent.Repeat
 	out := fw.outgoing(ctx, req, cl)
 	var rp *reply
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -187,6 +187,11 @@
 	}
 }
 
+// committed reports whether an earlier nested call of the same request, at this step of its call chain or further up, was answered.
+func (cl *call) committed() bool {
+	return cl.parent != nil && (cl.parent.Committed || cl.parent.Answered() > 0)
+}
+
 // inherit sets what a nested call takes from its parent.
 func (cl *call) inherit(parent *authenticator.Call[*retrier.Budget]) {
 	cl.id = parent.Request
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -84,6 +84,7 @@
 	throttler      *throttler.Throttler
 	identify       func(*http.Request) gypsumhoist.RequestID
 	acceptUnframed bool
+	reportsPace    func(gypsumhoist.Service) bool
 }
 
 type upstreamSlot struct {
@@ -188,6 +189,16 @@
 // nil refuses none.
 func WithThrottler(th *throttler.Throttler) Option { return func(fw *Forwarder) { fw.throttler = th } }
 
+// WithPaceReports sets a function that reports whether the upstreams of a service report their pace; it must be fast. For these services
+// the calls of a request that has been served in part go first; nil means that no service does.
+func WithPaceReports(reports func(gypsumhoist.Service) bool) Option {
+	return func(fw *Forwarder) {
+		if reports != nil {
+			fw.reportsPace = reports
+		}
+	}
+}
+
 // WithBounds sets the maximum size of a body in bytes and the longest wait for the first byte of an answer.
 // Values of zero or less keep the defaults.
 func WithBounds(bodyBytes int64, firstByte time.Duration) Option {
@@ -204,12 +215,13 @@
 // New returns a forwarder without an upstream.
 func New(opts ...Option) *Forwarder {
 	fw := &Forwarder{
-		calls:      authenticator.NewCalls[*retrier.Budget](),
-		bodyBytes:  DefaultBodyBytes,
-		firstByte:  DefaultFirstByte,
-		onBroken:   func(context.Context) {},
-		onDraining: func(Upstream) {},
-		identify:   func(*http.Request) gypsumhoist.RequestID { return newRequestID() },
+		calls:       authenticator.NewCalls[*retrier.Budget](),
+		bodyBytes:   DefaultBodyBytes,
+		firstByte:   DefaultFirstByte,
+		onBroken:    func(context.Context) {},
+		onDraining:  func(Upstream) {},
+		identify:    func(*http.Request) gypsumhoist.RequestID { return newRequestID() },
+		reportsPace: func(gypsumhoist.Service) bool { return false },
 	}
 	fw.aborted, fw.abort = context.WithCancel(context.Background())
 	for _, opt := range opts {
--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -123,6 +123,7 @@
 		Depth:      int(hop.GetDepth()),
 		Precedence: admitter.PrecedenceOf(gypsumhoist.RequestID(hop.GetRequest())),
 		Siblings:   hop.GetSiblings(),
+		Committed:  hop.GetCommitted(),
 		Deadline:   deadline,
 		MaxWait:    time.Duration(hop.GetPatienceUs()) * time.Microsecond,
 	})
@@ -163,6 +164,7 @@
 		Budget:     rn.budget,
 		Repeat:     hop.GetRepeat(),
 		Siblings:   hop.GetSiblings(),
+		Committed:  hop.GetCommitted(),
 	}
 	rn.callToken = fw.calls.Begin(rn.call)
 	out.Header.Set(gypsumhoist.HeaderCall, rn.callToken)
