admitter: some slots stay free where the upstream does more work then

An upstream that slows down by 1.3 while nearly all of its slots are in use stays slow for the whole of an overload: latency never reaches 1.5 times the baseline, which starts a trial. A trial with 0.93 of the slots now compares 200 latencies with all slots in use and 200 with some free, by route, and keeps the lower limit for 30 s if they fell by more than the slots did, beyond chance. Trials run only after calls that say that the upstreams of the service report their pace (Hop.paced, field 51).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -20,7 +20,8 @@
 	eventSlots = logger.Define(1401, logger.LevelInfo, "slots_changed",
 		"The upstream announced a different number of slots.")
 	eventLimit = logger.Define(1402, logger.LevelInfo, "limit_changed",
-		"The concurrency limit of the upstream has changed; cause tells whether latency, its own refusals or its slots led to that.")
+		"The concurrency limit of the upstream has changed; cause tells whether latency, its own refusals or its slots led to that, "+
+			"or a trial with some slots free.")
 	eventJoint = logger.Define(1403, logger.LevelInfo, "joint_refusal",
 		"The upstream can't serve all calls: it refuses those of the requests ranked below level on arrival, "+
 			"so that the others get all of theirs served; a level of zero tells that this has ended.")
@@ -300,6 +301,7 @@
 		Precedence: rq.Precedence,
 		Siblings:   rq.Siblings,
 		Committed:  rq.Committed,
+		Paced:      rq.Paced,
 		MaxWait:    rq.MaxWait,
 	}
 	if !rq.Deadline.IsZero() {
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -27,6 +27,8 @@
 	Committed bool
 	// MaxWait limits how long the request may wait while it is among the least important; zero leaves that to the core.
 	MaxWait time.Duration
+	// Paced reports that upstreams of the service report their pace; it allows trials with some slots free.
+	Paced bool
 
 	probe bool // it runs against the estimate of its route, to refresh it
 }
@@ -112,6 +114,9 @@
 	if co.limit.slots == 0 {
 		return id, Refused{co.noUpstream()}
 	}
+	if rq.Paced {
+		co.limit.knee.enable(now)
+	}
 	free := co.queue.len() == 0 && co.mayStart(now)
 	if rq.Siblings && co.refusedJointly(now, rq, free) {
 		co.cutOff.refused(now, rk)
@@ -160,6 +165,7 @@
 	case OutcomeAnswered:
 		co.times.sample(now, route, took)
 		co.limit.sample(now, took, co.inFlight)
+		co.limit.sampleKnee(now, route, took, co.inFlight, co.times.all.median)
 	case OutcomeAbandoned:
 		co.times.sampleAtLeast(now, route, took)
 	case OutcomeOverloaded:
--- a/admitter/limit.go
+++ b/admitter/limit.go
@@ -36,6 +36,7 @@
 	window          window
 	elevated        windowTotals // consecutive saturated windows of elevated latency
 	trial           trial
+	knee            knee
 
 	refusalCutAt time.Duration
 	cause        limitCause // of the last change
@@ -51,9 +52,11 @@
 	limitTrialKept                       // a trial's limit was kept, as latency fell with it
 	limitTrialReverted                   // a trial's limit was reverted
 	limitGrowth                          // latency is near the baseline
+	limitFreeSlots                       // some slots stay free, to find out whether the upstream does more work then, or as it does
+	limitAllSlots                        // all slots are used again
 )
 
-var limitCauseNames = [...]string{"slots", "refusals", "trial", "trial_kept", "trial_taken_back", "growth"}
+var limitCauseNames = [...]string{"slots", "refusals", "trial", "trial_kept", "trial_taken_back", "growth", "free_slots", "all_slots"}
 
 // String returns the cause in snake case.
 func (lc limitCause) String() string { return limitCauseNames[lc] }
@@ -90,7 +93,7 @@
 	if lm.slots <= 0 {
 		return 0
 	}
-	return max(int(limitMin), min(int(lm.value), lm.slots))
+	return max(int(limitMin), min(int(lm.value), lm.knee.limit(lm.slots)))
 }
 
 func (lm *limit) setSlots(slots int) {
@@ -98,6 +101,7 @@
 		return
 	}
 	lm.cause = limitSlots
+	lm.knee.reset()
 	full := lm.value >= float64(lm.slots)
 	lm.slots = slots
 	if full || lm.value > float64(slots) {
@@ -119,6 +123,18 @@
 	}
 }
 
+// sampleKnee adds the latency of a request of a route to the trials with some slots free; usual is the median latency.
+func (lm *limit) sampleKnee(now time.Duration, route string, took time.Duration, running int, usual time.Duration) {
+	before := lm.knee.limit(lm.slots)
+	lm.knee.sample(now, route, took, running, lm.slots, usual)
+	switch after := lm.knee.limit(lm.slots); {
+	case after < before:
+		lm.cause = limitFreeSlots
+	case after > before:
+		lm.cause = limitAllSlots
+	}
+}
+
 // upstreamRefused lowers the limit for a refusal by the upstream itself, but not below refusalFloor: the upstream may
 // only pass on the refusal of a service behind it, for which a lower limit here doesn't help.
 func (lm *limit) upstreamRefused(now time.Duration) {
--- a/forwarder/committed_test.go
+++ b/forwarder/committed_test.go
@@ -36,7 +36,7 @@
 // Guards against calls that are refused although earlier ones of the same request were served, and against a change of the messages
 // about services that don't report their pace.
 var _ = Describe("the second call of an upstream", func() {
-	committed := func(fl *fleet, reports func(gypsumhoist.Service) bool) []bool {
+	committed := func(fl *fleet, reports func(gypsumhoist.Service) bool, paced bool) []bool {
 		var front *node
 		front = fl.add("slips-1", func(_ http.ResponseWriter, req *http.Request) {
 			fl.nestedCall(front, "GET", "/roster/1", req.Header.Get(gypsumhoist.HeaderCall))
@@ -56,19 +56,20 @@
 		var out []bool
 		for _, hop := range rec.hops {
 			out = append(out, hop.GetCommitted())
+			Expect(hop.GetPaced()).To(Equal(paced))
 		}
 		return out
 	}
 
 	It("says that the first was answered, if the service reports its pace", withFleet(func(fl *fleet) {
-		Expect(committed(fl, func(sv gypsumhoist.Service) bool { return sv == "roster" })).To(Equal([]bool{false, true}))
+		Expect(committed(fl, func(sv gypsumhoist.Service) bool { return sv == "roster" }, true)).To(Equal([]bool{false, true}))
 	}))
 
 	It("does not say so for other services", withFleet(func(fl *fleet) {
-		Expect(committed(fl, func(sv gypsumhoist.Service) bool { return sv == "slips" })).To(Equal([]bool{false, false}))
+		Expect(committed(fl, func(sv gypsumhoist.Service) bool { return sv == "slips" }, false)).To(Equal([]bool{false, false}))
 	}))
 
 	It("does not say so if nothing tells which services report their pace", withFleet(func(fl *fleet) {
-		Expect(committed(fl, nil)).To(Equal([]bool{false, false}))
+		Expect(committed(fl, nil, false)).To(Equal([]bool{false, false}))
 	}))
 })
--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -124,6 +124,7 @@
 		Precedence: admitter.PrecedenceOf(gypsumhoist.RequestID(hop.GetRequest())),
 		Siblings:   hop.GetSiblings(),
 		Committed:  hop.GetCommitted(),
+		Paced:      hop.GetPaced(),
 		Deadline:   deadline,
 		MaxWait:    time.Duration(hop.GetPatienceUs()) * time.Microsecond,
 	})
--- a/scheduler/deployments_test.go
+++ b/scheduler/deployments_test.go
@@ -188,3 +188,21 @@
 		})
 	}
 }
+
+// TestSlotsLeftFree guards against a scarce service that stays slower for the whole of an overload, as its upstreams slow down when all
+// of their slots are in use. The other deployment's upstreams don't: there the trials must cost next to nothing.
+func TestSlotsLeftFree(t *testing.T) {
+	leave := func(fl *fleet) { fl.paced = true }
+	t.Run("uneven servers", func(t *testing.T) {
+		gm := gomega.NewWithT(t)
+		before, after := compare(t, unevenServers, leave)
+		// With all slots in use the service does 1/1.3 of the work that it could do with nearly all; half of that is to be regained.
+		gm.Expect(after.served()).To(gomega.BeNumerically(">", 1.1*before.served()))
+		gm.Expect(after.worth).To(gomega.BeNumerically(">", before.worth))
+	})
+	t.Run("competing callers", func(t *testing.T) {
+		gm := gomega.NewWithT(t)
+		before, after := compare(t, competingCallers, leave)
+		gm.Expect(after.served()).To(gomega.BeNumerically(">", 0.98*before.served()))
+	})
+}
