--- a/admitter/core.go
+++ b/admitter/core.go
@@ -23,8 +23,12 @@
 	Precedence Precedence
 	// Siblings reports that this is one of several calls of a request, which fails with the first of them that is refused.
 	Siblings bool
+	// Committed reports that an earlier call of its request was answered, whose work is lost if this one is refused.
+	Committed bool
 	// MaxWait limits how long the request may wait while it is among the least important; zero leaves that to the core.
 	MaxWait time.Duration
+	// Paced reports that upstreams of the service report their pace; it allows trials with some slots free.
+	Paced bool
 
 	probe bool // it runs against the estimate of its route, to refresh it
 }
@@ -110,6 +114,9 @@
 	if co.limit.slots == 0 {
 		return id, Refused{co.noUpstream()}
 	}
+	if rq.Paced {
+		co.limit.knee.enable(now)
+	}
 	free := co.queue.len() == 0 && co.mayStart(now)
 	if rq.Siblings && co.refusedJointly(now, rq, free) {
 		co.cutOff.refused(now, rk)
@@ -120,7 +127,7 @@
 	// A free slot is refused only if the request would miss its deadline at the shortest service time.
 	needed := co.times.shortest(rq.Route)
 	if !free {
-		needed = co.times.low(rq.Route) + co.queueDelay(rk)
+		needed = co.times.low(rq.Route) + co.queueDelay(orderOf(rq))
 	}
 	if co.missesDeadline(now, rq.Deadline, needed) {
 		if rq.Deadline <= now || !co.times.probe(now, rq.Route) {
@@ -158,6 +165,7 @@
 	case OutcomeAnswered:
 		co.times.sample(now, route, took)
 		co.limit.sample(now, took, co.inFlight)
+		co.limit.sampleKnee(now, route, took, co.inFlight, co.times.all.median)
 	case OutcomeAbandoned:
 		co.times.sampleAtLeast(now, route, took)
 	case OutcomeOverloaded:
