loader: settings for heads, lines, connections of one client, pipelined requests and streams

bounds.head_bytes, header_lines, connections_per_client, pipelined and streams, with their ranges. Nothing reads them yet. A file that sets none of them is read as before.

--- a/loader/check.go
+++ b/loader/check.go
@@ -28,6 +28,11 @@
 	headerBytesMax = 1 << 20
 	bodyBytesMax   = 1 << 30
 	connectionsMax = 100_000
+	headBytesMin   = 1 << 20
+	headBytesMax   = 1 << 40
+	headerLinesMin = 100
+	headerLinesMax = 1 << 20
+	concurrentMax  = 100_000
 	durationMax    = time.Hour
 )
 
@@ -162,11 +167,22 @@
 	if bd.Connections < 1 || bd.Connections > connectionsMax {
 		ck.add("bounds.connections", bd.Connections, fmt.Sprintf("1 to %d", connectionsMax))
 	}
+	ck.number("bounds.head_bytes", bd.HeadBytes, headBytesMin, headBytesMax)
+	ck.number("bounds.header_lines", int64(bd.HeaderLines), headerLinesMin, headerLinesMax)
+	ck.number("bounds.connections_per_client", int64(bd.ConnectionsPerClient), 0, connectionsMax)
+	ck.number("bounds.pipelined", int64(bd.Pipelined), 1, concurrentMax)
+	ck.number("bounds.streams", int64(bd.Streams), 1, concurrentMax)
 	ck.duration("bounds.header_time", bd.HeaderTime, time.Millisecond, durationMax)
 	ck.duration("bounds.first_byte", bd.FirstByte, time.Millisecond, durationMax)
 	ck.duration("bounds.idle_time", bd.IdleTime, time.Second, durationMax)
 }
 
+func (ck *checker) number(key string, val, lo, hi int64) {
+	if val < lo || val > hi {
+		ck.add(key, val, fmt.Sprintf("%d to %d", lo, hi))
+	}
+}
+
 func (ck *checker) duration(key string, val Duration, lo, hi time.Duration) {
 	if time.Duration(val) < lo || time.Duration(val) > hi {
 		ck.add(key, time.Duration(val), fmt.Sprintf("%s to %s", lo, hi))
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -135,15 +135,25 @@
 	UnframedAnswers UnframedPolicy `toml:"unframed_answers"`
 }
 
-// Bounds limit the resources that callers can use.
+// Bounds limit the resources that clients can use. Those of all ports count together, except that a part of HeadBytes and
+// of Connections is reserved for peers, operators and the upstream.
 type Bounds struct {
-	HeaderBytes int      `toml:"header_bytes"`
-	BodyBytes   int64    `toml:"body_bytes"`
+	HeaderBytes int   `toml:"header_bytes"`
+	BodyBytes   int64 `toml:"body_bytes"`
+	// Connections limits the accepted connections of all ports.
 	Connections int      `toml:"connections"`
 	HeaderTime  Duration `toml:"header_time"`
 	FirstByte   Duration `toml:"first_byte"`
 	// IdleTime is how long an idle connection of a caller stays open.
 	IdleTime Duration `toml:"idle_time"`
+	// HeadBytes limits the memory for the heads of requests, HeaderLines the lines of one head.
+	HeadBytes   int64 `toml:"head_bytes"`
+	HeaderLines int   `toml:"header_lines"`
+	// ConnectionsPerClient limits the connections of one client address to the callers' port; 0 for no limit of its own.
+	ConnectionsPerClient int `toml:"connections_per_client"`
+	// Pipelined limits the requests of one HTTP/1.1 connection that run concurrently, Streams those of one HTTP/2 connection.
+	Pipelined int `toml:"pipelined"`
+	Streams   int `toml:"streams"`
 }
 
 // Stop bounds a planned stop.
@@ -202,6 +212,10 @@
 			HeaderTime:  Duration(5 * time.Second),
 			FirstByte:   Duration(30 * time.Second),
 			IdleTime:    Duration(30 * time.Second),
+			HeadBytes:   48 << 20,
+			HeaderLines: 5500,
+			Pipelined:   32,
+			Streams:     1000,
 		},
 		Rates:    Rates{Keepers: KeepersElected},
 		Upstream: Upstream{Lapse: Duration(3 * time.Second), IdleTime: Duration(30 * time.Second), UnframedAnswers: UnframedRefuse},
