connector: one accountant for what all clients of a process use

Heads of legal size cost up to fifteen times their size once parsed, each port and connection had limits of its own, and so a crowd inside the limits of each connection exceeded the memory of the machine.

An Accountant, shared by the servers of a process, charges each head before net/http parses it: its bytes, and 200 bytes for each line. On HTTP/1 the bytes are counted that net/http reads while it waits for a request; on HTTP/2 the frames are followed and the heads decoded. Without room the largest head in progress is refused, else the new one: 431 and verdict not_run, before anything is sent on. Parts are reserved for peers, operators and the upstream. Pipelined requests run ahead of their turn only while half of the budget is free; beyond it they wait unread. Requests on HTTP/2 count until their handlers have ended, also after a reset. Connections count for all ports together.

heads_test.go: the longest legal head of the shortest lines is served, 512 to 2,000 ordinary callers meet no limit, refusals are true, and nothing stays charged.

--- a/connector/event.go
+++ b/connector/event.go
@@ -11,6 +11,8 @@
 		"A connection to another instance received no byte, not even in response to a probe; it was closed, and other connections are probed, too.")
 	eventConnFailed = logger.Define(1103, logger.LevelInfo, "connection_failed",
 		"A connection was closed after an error: by the server, for example because a client went silent, or to an upstream that sent data without a request.")
+	eventRefused = logger.Define(1110, logger.LevelWarn, "clients_refused",
+		"Clients of a port were beyond a limit of [bounds] and were refused; the counts are by limit, since the last such line, of which there is at most one in 10 s for each port.")
 	eventServeFailed = logger.Define(1102, logger.LevelError, "listener_failed",
 		"A port no longer accepts connections; restart the process.")
 )
--- a/connector/options.go
+++ b/connector/options.go
@@ -47,6 +47,8 @@
 	maxStreams        int
 	peers             bool
 	pipelining        bool
+	accountant        *Accountant
+	port              Port
 	pathMonitor       PathMonitor
 	responseCheck     func(*http.Request, *http.Response) error
 }
@@ -75,7 +77,7 @@
 	return cf
 }
 
-func positive[T int | time.Duration](dst *T, val T) {
+func positive[T int | int64 | time.Duration](dst *T, val T) {
 	if val > 0 {
 		*dst = val
 	}
@@ -174,3 +176,9 @@
 
 // WithMaxStreams limits the concurrent requests on one HTTP/2 connection of a Server.
 func WithMaxStreams(n int) Option { return func(cf *config) { positive(&cf.maxStreams, n) } }
+
+// WithAccountant makes a Server share its limits with the process's other servers, as the one for a kind of clients.
+// Without it, a Server has an Accountant with DefaultLimits of its own, as PortCallers.
+func WithAccountant(ac *Accountant, pt Port) Option {
+	return func(cf *config) { cf.accountant, cf.port = ac, pt }
+}
--- a/connector/pipeconn.go
+++ b/connector/pipeconn.go
@@ -12,8 +12,9 @@
 
 // Limits of pipelining.
 const (
-	pipeMaxConcurrent = 32      // concurrent requests of one connection
-	pipeReadBytes     = 2 << 10 // bytes per read of pipelined requests
+	pipeReadBytes = 2 << 10 // bytes per read of pipelined requests
+	// pipeKeepBytes is the largest buffer that a connection keeps for its next head.
+	pipeKeepBytes = 2 << 10
 )
 
 // phase is the part of the byte stream that the server reads next from a pipeConn.
@@ -38,6 +39,7 @@
 	buffered []byte // read from the client, not yet passed to the server
 	bodyLeft int64  // unread bytes of the body
 	oneByte  [1]byte
+	ahead    int64 // charged for the bytes that are read ahead of their turn
 
 	mu    sync.Mutex
 	slots []*responseSlot
@@ -139,10 +141,18 @@
 	return len(part) - extra
 }
 
+// resetHead empties the buffer of the head, and frees a large one.
+func (pc *pipeConn) resetHead() {
+	pc.head = pc.head[:0]
+	if cap(pc.head) > pipeKeepBytes {
+		pc.head = nil
+	}
+}
+
 // setBodyPhase sets the phase that follows the head.
 func (pc *pipeConn) setBodyPhase() {
 	fr, length, _ := parseFraming(pc.head)
-	pc.head = pc.head[:0]
+	pc.resetHead()
 	switch fr {
 	case framingNone:
 		pc.phase = phasePipelined
@@ -155,12 +165,13 @@
 
 // dispatchPipelined dispatches pipelined requests until the buffer holds bytes that the server has to read from this connection.
 func (pc *pipeConn) dispatchPipelined() error {
+	defer pc.endReadAhead()
 	for {
 		if err := pc.ensureBuffered(1); err != nil {
 			return err
 		}
 		end := bytes.Index(pc.buffered, headEnd)
-		if end < 0 && len(pc.buffered) <= pipeMaxHeadBytes {
+		if end < 0 && len(pc.buffered) <= pipeMaxHeadBytes && pc.mayReadAhead() {
 			if err := pc.readMore(make([]byte, pipeReadBytes)); err != nil {
 				return err
 			}
@@ -178,14 +189,40 @@
 	}
 }
 
+// mayReadAhead reports whether more of a pipelined head may be read before its turn, beyond pipeKeepBytes only while there is room for it.
+func (pc *pipeConn) mayReadAhead() bool {
+	if len(pc.buffered) <= pipeKeepBytes || pc.ahead > 0 {
+		return true
+	}
+	if !pc.listener.accountant.tryPipelined(pc.listener.port, pipeMaxHeadBytes) {
+		return false
+	}
+	pc.ahead = pipeMaxHeadBytes
+	return true
+}
+
+// endReadAhead ends the charge of mayReadAhead.
+func (pc *pipeConn) endReadAhead() {
+	if pc.ahead == 0 {
+		return
+	}
+	pc.listener.accountant.add(pc.listener.port, -pc.ahead)
+	pc.ahead = 0
+}
+
 // dispatch passes a request to the server on a requestConn and reports whether it did.
 func (pc *pipeConn) dispatch(head []byte) bool {
 	pc.mu.Lock()
-	if pc.closed || len(pc.slots) >= pipeMaxConcurrent || pc.listener.draining.Load() {
+	if pc.closed || len(pc.slots) >= pc.listener.accountant.limits.Pipelined || pc.listener.draining.Load() {
+		pc.mu.Unlock()
+		return false
+	}
+	cost := pipelinedCost + headCost(receivingFactor*int64(len(head)), bytes.Count(head, []byte{'\n'}))
+	if !pc.listener.accountant.tryPipelined(pc.listener.port, cost) {
 		pc.mu.Unlock()
 		return false
 	}
-	rc := &requestConn{conn: pc, head: head, slot: &responseSlot{}}
+	rc := &requestConn{conn: pc, head: head, slot: &responseSlot{cost: cost}}
 	pc.slots = append(pc.slots, rc.slot)
 	pc.mu.Unlock()
 	if pc.listener.offer(rc) {
@@ -193,6 +230,7 @@
 	}
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
+	pc.listener.accountant.add(pc.listener.port, -cost)
 	pc.slots = slices.DeleteFunc(pc.slots, func(rs *responseSlot) bool { return rs == rc.slot })
 	return false
 }
--- a/connector/pipelistener.go
+++ b/connector/pipelistener.go
@@ -14,16 +14,18 @@
 	net.Listener
 	idleTimeout time.Duration
 	// draining stops concurrent execution: a response with "Connection: close" must be the last one.
-	draining *atomic.Bool
-	conns    chan net.Conn
-	errs     chan error
-	closed   chan struct{}
-	once     sync.Once
+	draining   *atomic.Bool
+	accountant *Accountant
+	port       Port
+	conns      chan net.Conn
+	errs       chan error
+	closed     chan struct{}
+	once       sync.Once
 }
 
-func newPipeListener(ln net.Listener, idleTimeout time.Duration, draining *atomic.Bool) *pipeListener {
+func newPipeListener(ln net.Listener, cf *config, draining *atomic.Bool) *pipeListener {
 	pl := &pipeListener{
-		Listener: ln, idleTimeout: idleTimeout, draining: draining,
+		Listener: ln, idleTimeout: cf.idleTimeout, draining: draining, accountant: cf.accountant, port: cf.port,
 		conns: make(chan net.Conn), errs: make(chan error), closed: make(chan struct{}),
 	}
 	go pl.run()
--- a/connector/pipeorder.go
+++ b/connector/pipeorder.go
@@ -10,8 +10,9 @@
 
 // responseSlot is the place of one request in the order of responses.
 type responseSlot struct {
-	done       bool // the response was sent
-	closesConn bool // the connection is closed after the response
+	done       bool  // the response was sent
+	closesConn bool  // the connection is closed after the response
+	cost       int64 // charged for a pipelined request
 }
 
 // beginHead adds a slot when the server begins to read the head of a request.
@@ -63,7 +64,8 @@
 	pc.advance()
 	pc.mu.Unlock()
 	if pc.phase == phaseHeadRead || pc.phase == phasePipelined {
-		pc.phase, pc.head = phaseHead, pc.head[:0]
+		pc.phase = phaseHead
+		pc.resetHead()
 	}
 }
 
@@ -76,6 +78,7 @@
 		return
 	}
 	rs.done = true
+	pc.listener.accountant.add(pc.listener.port, -rs.cost)
 	rs.closesConn = rs.closesConn || !whole
 	pc.advance()
 }
--- a/connector/piperequest.go
+++ b/connector/piperequest.go
@@ -9,6 +9,9 @@
 // pipeMaxHeadBytes limits the request heads that are parsed. Requests after a longer head don't run concurrently with it.
 const pipeMaxHeadBytes = 16 << 10
 
+// pipeMaxLines limits their lines, as such heads are parsed twice: here, and by the server.
+const pipeMaxLines = 256
+
 // headEnd terminates the head of a request.
 var headEnd = []byte("\r\n\r\n")
 
@@ -24,7 +27,8 @@
 
 // parseFraming parses a complete head as net/http does, and returns the framing, the length of the body in bytes and the method.
 func parseFraming(head []byte) (fr framing, length int64, method string) {
-	if bytes.Count(head, []byte("\n")) != bytes.Count(head, []byte("\r\n")) {
+	lines := bytes.Count(head, []byte("\n"))
+	if lines > pipeMaxLines || lines != bytes.Count(head, []byte("\r\n")) {
 		return framingUnknown, 0, ""
 	}
 	req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
--- a/connector/server.go
+++ b/connector/server.go
@@ -21,12 +21,17 @@
 type Server struct {
 	config   config
 	server   *http.Server
+	refusals *refusals
 	draining atomic.Bool
 }
 
 // NewServer returns a server that passes its requests to a handler.
 func NewServer(handler http.Handler, opts ...Option) *Server {
 	sv := &Server{config: newConfig(opts)}
+	if sv.config.accountant == nil {
+		sv.config.accountant = NewAccountant(DefaultLimits)
+	}
+	sv.refusals = newRefusals(sv)
 	var protos http.Protocols
 	protos.SetHTTP1(true)
 	protos.SetHTTP2(true)
@@ -37,35 +42,45 @@
 		ReadHeaderTimeout: sv.config.readHeaderTimeout,
 		IdleTimeout:       sv.config.idleTimeout,
 		MaxHeaderBytes:    sv.config.maxHeaderBytes,
+		ConnContext:       withHeadConn,
+		ConnState:         notifyState,
 		ErrorLog:          log.New(&errorLog{logger: sv.config.logger}, "", 0),
 		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: sv.config.maxStreams,
+			MaxConcurrentStreams: sv.maxStreams(),
 			MaxReadFrameSize:     maxReadFrameBytes,
 			SendPingTimeout:      idlePingInterval,
 			PingTimeout:          sv.config.pingTimeout,
 			WriteByteTimeout:     sv.config.writeStall,
 		},
 	}
-	if sv.config.pipelining {
-		sv.server.ConnState = notifyIdle
-	}
 	return sv
 }
 
-// notifyIdle tells a pipelining connection that the server has sent a response and waits for the next request.
-func notifyIdle(cn net.Conn, state http.ConnState) {
-	if idler, ok := cn.(interface{ idle() }); ok && state == http.StateIdle {
-		idler.idle()
+// maxStreams returns the limit of concurrent requests on one HTTP/2 connection.
+func (sv *Server) maxStreams() int {
+	return min(sv.config.maxStreams, sv.config.accountant.limits.Streams)
+}
+
+// notifyState tells a connection that the server has read a head, or has sent a response and waits for the next request.
+func notifyState(cn net.Conn, state http.ConnState) {
+	switch cn := cn.(type) {
+	case *headConn:
+		cn.setState(state)
+	case *requestConn:
+		if state == http.StateIdle {
+			cn.idle()
+		}
 	}
 }
 
 // Serve accepts connections until Shutdown or Close and then returns nil.
 // TLS is left to the Network that returned the listener; the TLS field of a request stays nil.
 func (sv *Server) Serve(ln net.Listener) error {
-	ln = newLimitListener(ln, sv.config.maxConns, sv.config.writeStall)
+	ln = newLimitListener(ln, &sv.config, sv.refuse)
 	if sv.config.pipelining {
-		ln = newPipeListener(ln, sv.config.idleTimeout, &sv.draining)
+		ln = newPipeListener(ln, &sv.config, &sv.draining)
 	}
+	ln = &headListener{Listener: ln, server: sv}
 	err := sv.server.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/connector/stall.go
+++ b/connector/stall.go
@@ -18,6 +18,17 @@
 
 // ServeHTTP implements http.Handler.
 func (gu *guard) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
+	if hc := headConnOf(req); hc != nil {
+		refused := hc.rejected
+		if hc.frames != nil {
+			refused = hc.frames.handlerBegins()
+			defer hc.frames.handlerEnds()
+		}
+		if refused {
+			refuseRequest(wr, req)
+			return
+		}
+	}
 	if gu.server.draining.Load() {
 		wr.Header().Set("Connection", "close")
 	}
