server, platform: all ports of a process share one accountant

bounds.connections now holds for all ports of a process together, and at most for three quarters of its descriptors; before, four to six ports had that many each, 512 on the platform's own.

--- a/server/server.go
+++ b/server/server.go
@@ -43,6 +43,7 @@
 	logger   *logger.Logger
 	metrics  *metrics.Set
 	boot     gossiper.Boot
+	clients  *connector.Accountant
 	random   *rand.Rand
 	disk     func(path string) (journaler.Folder, error)
 
@@ -111,9 +112,43 @@
 	if sv.random == nil {
 		sv.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	sv.clients = newAccountant(st.Bounds, sv.metrics)
 	return sv
 }
 
+// maxDescriptors is the highest limit of descriptors that matters: bounds.connections is lower.
+const maxDescriptors = 1 << 20
+
+// acceptedConnections returns how many connections the process may accept. A quarter of its descriptors is left for connections
+// that it opens itself, and for files.
+func acceptedConnections(limit int) int {
+	if most := descriptorLimit() / 4 * 3; most > 0 {
+		return min(limit, most)
+	}
+	return limit
+}
+
+// newAccountant returns the accountant of all ports of the process.
+func newAccountant(bd loader.Bounds, ms *metrics.Set) *connector.Accountant {
+	ac := connector.NewAccountant(connector.Limits{
+		HeadBytes: bd.HeadBytes, HeaderLines: bd.HeaderLines, Connections: acceptedConnections(bd.Connections), ConnectionsPerClient: bd.ConnectionsPerClient,
+		Pipelined: bd.Pipelined, Streams: bd.Streams,
+	})
+	ms.NewGauge("gypsumhoist_connector_head_bytes", func() float64 { return float64(ac.HeadBytes()) })
+	ms.NewGauge("gypsumhoist_connector_accepted_connections", func() float64 { return float64(ac.Connections()) })
+	return ac
+}
+
+// PortOptions returns the options of a further port of the process that shares its limits.
+func (sv *Server) PortOptions(pt connector.Port) []connector.Option {
+	bd := sv.settings.Bounds
+	return []connector.Option{
+		connector.WithLogger(sv.logger), connector.WithMetrics(sv.metrics), connector.WithAccountant(sv.clients, pt),
+		connector.WithMaxConns(bd.Connections), connector.WithMaxHeaderBytes(bd.HeaderBytes),
+		connector.WithReadHeaderTimeout(time.Duration(bd.HeaderTime)), connector.WithIdleTimeout(time.Duration(bd.IdleTime)),
+	}
+}
+
 // Start builds the components, opens the ports and joins the fleet.
 // On error everything is stopped again.
 func (sv *Server) Start() error {
@@ -228,18 +263,18 @@
 	return nil
 }
 
+// portKinds are the kinds of the ports by name.
+var portKinds = map[string]connector.Port{
+	"callers": connector.PortCallers, "peers": connector.PortPeers, "operator": connector.PortOperators, "upstream": connector.PortUpstream,
+}
+
 // listen opens one port.
 func (sv *Server) listen(name string, addr netip.AddrPort, handler http.Handler, opts ...connector.Option) error {
 	ln, err := sv.network.Listen(addr)
 	if err != nil {
 		return TagPort.Errorf("%s: %w", name, err)
 	}
-	bd := sv.settings.Bounds
-	opts = append(opts,
-		connector.WithLogger(sv.logger), connector.WithMetrics(sv.metrics),
-		connector.WithMaxConns(bd.Connections), connector.WithMaxHeaderBytes(bd.HeaderBytes),
-		connector.WithReadHeaderTimeout(time.Duration(bd.HeaderTime)), connector.WithIdleTimeout(time.Duration(bd.IdleTime)))
-	pt := &port{name: name, server: connector.NewServer(handler, opts...)}
+	pt := &port{name: name, server: connector.NewServer(handler, append(sv.PortOptions(portKinds[name]), opts...)...)}
 	if !sv.addPort(pt) {
 		_ = ln.Close()
 		return errStopping
