--- a/connector/event.go
+++ b/connector/event.go
@@ -13,6 +13,8 @@
 		"A connection was closed after an error: by the server, for example because a client went silent, or to an upstream that sent data without a request.")
 	eventBroken = logger.Define(1110, logger.LevelWarn, "responses_broken",
 		"An upstream or another instance sent responses that are malformed, or closed a connection before the request was sent; they were not passed on. One line a second at most, with their number; look at the sender.")
+	eventRefused = logger.Define(1111, logger.LevelWarn, "clients_refused",
+		"Clients of a port were beyond a limit of [bounds] and were refused; the counts are by limit, since the last such line, of which there is at most one in 10 s for each port.")
 	eventServeFailed = logger.Define(1102, logger.LevelError, "listener_failed",
 		"A port no longer accepts connections; restart the process.")
 )
