router: calls leave the failure domain if that costs less than staying

For services whose upstreams report their pace, a call that found both of two random draws full went to the nearest other domain with room among two draws there: by chance of the draw, and without regard to bytes, time or the other domain's own callers. Now the home domain is searched for an upstream with room, and a call leaves only if its wait and chance of refusal at home cost more than delay and bytes. How much goes to which domain is bounded by a permit for each service and domain that follows the answers heard from there. Small responses and important requests leave first.

--- a/router/export_test.go
+++ b/router/export_test.go
@@ -19,9 +19,17 @@
 
 // PickAt is Router.Pick at a given time.
 func (gr *Group) PickAt(now time.Duration, exclude ...gypsumhoist.Instance) Choice {
-	return gr.pick(now, true, exclude)
+	return gr.pick(now, &Request{Idempotent: true}, exclude)
 }
 
+// PickForAt is Router.PickFor at a given time.
+func (gr *Group) PickForAt(now time.Duration, rq Request, exclude ...gypsumhoist.Instance) Choice {
+	return gr.pick(now, &rq, exclude)
+}
+
+// SetSpillover is WithSpillover for a group.
+func (gr *Group) SetSpillover(sp Spillover) { gr.spillover = sp }
+
 // ReportAt is Pick.Report at a given time.
 func (gr *Group) ReportAt(now time.Duration, in gypsumhoist.Instance, rp Report) {
 	gr.report(now, in, rp)
--- a/router/group.go
+++ b/router/group.go
@@ -39,6 +39,12 @@
 	latency          time.Duration // moving average over answers
 	initialized      bool          // SetUpstreams has been called
 	loads            loads
+	spillover        Spillover
+	aways            []*away // all other domains that the service had upstreams in
+	calls, awayCalls decayed // picks by reports, and those of them that left the domain
+	// homeEnded and homeRefused count the attempts at home that were answered or refused, and the refused ones.
+	homeEnded, homeRefused decayed
+	spillChange            *spillChange // not logged yet
 }
 
 // tier is a set of upstreams at about the same distance.
@@ -57,6 +63,8 @@
 		delays:  map[gypsumhoist.FailureDomain]time.Duration{},
 		members: map[gypsumhoist.Instance]*member{},
 		beliefs: map[gypsumhoist.Instance]belief{},
+
+		spillover: DefaultSpillover,
 	}
 }
 
@@ -156,6 +164,7 @@
 		gr.tiers = append(gr.tiers, newTier(active[from:to]))
 		from = to
 	}
+	gr.setAways()
 	gr.loads.changed()
 	for _, mb := range active {
 		if mb.prediction.newcomer && mb.upstream.State == StateReady {
--- a/router/member.go
+++ b/router/member.go
@@ -46,6 +46,7 @@
 	ejection ejection
 
 	prediction prediction
+	away       *away // the member's domain, nil at home
 }
 
 // slowStartFactor returns the share of its slots that the upstream may use, from coldShare to 1.
--- a/router/pick.go
+++ b/router/pick.go
@@ -21,19 +21,22 @@
 }
 
 // pick chooses a member and counts an attempt in flight on it. The member is nil if there is none.
-func (gr *Group) pick(now time.Duration, idempotent bool, exclude []gypsumhoist.Instance) choice {
-	if mb := gr.dueProbe(now, idempotent, exclude); mb != nil {
+func (gr *Group) pick(now time.Duration, rq *Request, exclude []gypsumhoist.Instance) choice {
+	if mb := gr.dueProbe(now, rq.Idempotent, exclude); mb != nil {
 		mb.ejection.probing = true
 		mb.inFlight++
 		return choice{member: mb, probe: true}
 	}
-	mb := gr.newcomer(now, idempotent, exclude)
+	gr.beginPick(now)
+	mb := gr.newcomer(now, rq, exclude)
 	if mb == nil {
-		gr.beginPick(now)
-		mb = gr.choose(now, exclude)
+		mb = gr.choose(now, rq, exclude)
 	}
 	if mb != nil {
 		mb.inFlight++
+		if gr.loads.inUse {
+			gr.countPick(now, mb)
+		}
 	}
 	return choice{member: mb}
 }
@@ -51,10 +54,22 @@
 // choose takes one candidate per tier and returns the nearest that is not saturated, or else a stopping member that is not
 // saturated. If all are saturated, it returns the least utilised candidate, or a stopping member if that candidate is leaving.
 // A silent member is the last resort; an unreachable one is never chosen.
-func (gr *Group) choose(now time.Duration, exclude []gypsumhoist.Instance) *member {
+//
+// For services whose upstreams report their pace, chooseByCost decides whether a call leaves the nearest tier.
+func (gr *Group) choose(now time.Duration, rq *Request, exclude []gypsumhoist.Instance) *member {
 	var best *member
 	var bestUse float64
-	for at := range gr.tiers {
+	tiers := gr.tiers
+	if gr.loads.inUse && gr.spillover.Mode != SpilloverOverflow && len(tiers) > 0 {
+		best = gr.chooseByCost(now, rq, exclude)
+		if best != nil && !gr.saturated(now, best) {
+			return best
+		}
+		if best != nil {
+			tiers = nil
+		}
+	}
+	for at := range tiers {
 		mb := gr.betterOfTwo(now, &gr.tiers[at], exclude)
 		if mb == nil {
 			continue
@@ -202,6 +217,7 @@
 	if oc.Result == ResultAnswered {
 		gr.latency = updateMean(gr.latency, oc.Latency)
 	}
+	gr.countEnd(now, mb, oc.Result)
 	if ch.probe {
 		if mb.ejection.endProbe(now, oc.Result) {
 			gr.readmit(now, mb)
--- a/router/predict.go
+++ b/router/predict.go
@@ -129,6 +129,7 @@
 	ls.own = ls.picks%ownInterval == 0
 	if now >= ls.updateAt {
 		gr.updateCapacities(now)
+		gr.updateSpilling(now)
 	}
 }
 
@@ -234,15 +235,19 @@
 }
 
 // newcomer returns a new upstream that is due for its first attempt by this node, or nil. The nodes' first attempts are spread over
-// introduceWithin, and one that may not run twice is not used for them.
-func (gr *Group) newcomer(now time.Duration, idempotent bool, exclude []gypsumhoist.Instance) *member {
-	if len(gr.loads.newcomers) == 0 || !idempotent || now >= gr.loads.until {
+// introduceWithin, and one that may not run twice is not used for them,
+// nor a large one that would leave the domain.
+func (gr *Group) newcomer(now time.Duration, rq *Request, exclude []gypsumhoist.Instance) *member {
+	if len(gr.loads.newcomers) == 0 || !rq.Idempotent || !gr.loads.inUse {
 		return nil
 	}
 	for at, mb := range gr.loads.newcomers {
 		if mb.prediction.introduceAt == 0 {
 			mb.prediction.introduceAt = now + 1 + time.Duration(gr.random.Int64N(int64(introduceWithin)))
 		}
+		if mb.away != nil && (rq.Bytes > mediumBytes || gr.spillover.Mode == SpilloverOff) {
+			continue
+		}
 		if now < mb.prediction.introduceAt || slices.Contains(exclude, mb.upstream.Instance) {
 			continue
 		}
--- a/router/report.go
+++ b/router/report.go
@@ -18,6 +18,8 @@
 	Process  int64
 	// Load is what the upstream last said of its load.
 	Load LoadReport
+	// RoundTrip is the time that the attempt took beyond its time at the upstream's node; zero if that is not known.
+	RoundTrip time.Duration
 }
 
 // LoadReport is a report of an upstream's load as its node passes it on. The zero value says nothing.
@@ -47,6 +49,7 @@
 func (gr *Group) report(now time.Duration, in gypsumhoist.Instance, rp Report) reportChange {
 	if rp.Load.Known() {
 		gr.reportLoad(now, in, rp.Load)
+		gr.reportRoundTrip(now, in, rp.RoundTrip)
 	}
 	old := gr.beliefs[in]
 	bl := old
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,10 @@
 		"An answer of an upstream names another limit of requests per second, or none; this node tells it to the upstream's node if that restarts.")
 	eventDraining = logger.Define(1503, logger.LevelInfo, "draining_heard",
 		"An answer of an upstream says that it drains; this node sends it no new requests, whatever its node announces, until another process of it runs.")
+	eventSpilloverBegun = logger.Define(1504, logger.LevelInfo, "spillover_begun",
+		"This node has begun to send calls of a service to another failure domain, as its own domain has no room for them.")
+	eventSpilloverEnded = logger.Define(1505, logger.LevelInfo, "spillover_ended",
+		"This node has ended sending calls of a service to another failure domain.")
 )
 
 // Router picks upstreams for all services known to this node. It is safe for concurrent use.
@@ -38,7 +42,11 @@
 	delays       map[gypsumhoist.FailureDomain]time.Duration
 	reachability prober.Reachability
 
+	metrics                            *metrics.Set
 	picks, probes, ejections, unrouted *metrics.Counter
+
+	spillover   Spillover
+	loadReports bool
 }
 
 type service struct {
@@ -71,6 +79,7 @@
 		if set == nil {
 			set = metrics.NewSet()
 		}
+		rt.metrics = set
 		rt.picks = set.NewCounter("gypsumhoist_router_picks_total")
 		rt.probes = set.NewCounter("gypsumhoist_router_probes_total")
 		rt.ejections = set.NewCounter("gypsumhoist_router_ejections_total")
@@ -78,6 +87,13 @@
 	}
 }
 
+// WithSpillover configures when calls leave the failure domain, for services whose upstreams report their pace.
+func WithSpillover(sp Spillover) Option { return func(rt *Router) { rt.spillover = sp } }
+
+// WithLoadReports sets whether load reports of upstreams are used, as they are by default. Otherwise no service counts as one whose
+// upstreams report their pace.
+func WithLoadReports(use bool) Option { return func(rt *Router) { rt.loadReports = use } }
+
 // WithRandom sets the random source that seeds the source of each service.
 func WithRandom(rd *rand.Rand) Option {
 	return func(rt *Router) {
@@ -91,7 +107,11 @@
 		local:  local,
 		start:  time.Now(),
 		delays: map[gypsumhoist.FailureDomain]time.Duration{},
-		seed:   func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
+
+		spillover:   DefaultSpillover,
+		loadReports: true,
+
+		seed: func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
 	rt.services.Store(&map[gypsumhoist.Service]*service{})
 	for _, opt := range append([]Option{WithMetrics(nil)}, opts...) {
@@ -165,6 +185,7 @@
 		sv.group.delays[dm] = delay
 	}
 	sv.group.reachability = rt.reachability
+	sv.group.spillover = rt.spillover
 	next := maps.Clone(old)
 	next[name] = sv
 	rt.services.Store(&next)
@@ -175,11 +196,17 @@
 var errNoUpstream = gypsumhoist.NotRun(gypsumhoist.ReasonNoUpstream, time.Second,
 	"no upstream of the service is known that hasn't been tried")
 
-// Pick chooses an upstream of a service for one attempt, other than the excluded ones.
+// Pick chooses an upstream of a service for one attempt, other than the excluded ones. It is PickFor of a request of which nothing
+// is known but whether it is idempotent.
+func (rt *Router) Pick(name gypsumhoist.Service, idempotent bool, exclude ...gypsumhoist.Instance) (Pick, error) {
+	return rt.PickFor(name, Request{Idempotent: idempotent}, exclude...)
+}
+
+// PickFor chooses an upstream of a service for one attempt at a request, other than the excluded ones.
 // An idempotent attempt, one that may run more than once, can serve as a probe of an ejected upstream.
 // The error is a shared *gypsumhoist.Refusal with VerdictNotRun that must not be modified.
 // The caller must call Done on every Pick.
-func (rt *Router) Pick(name gypsumhoist.Service, idempotent bool, exclude ...gypsumhoist.Instance) (Pick, error) {
+func (rt *Router) PickFor(name gypsumhoist.Service, rq Request, exclude ...gypsumhoist.Instance) (Pick, error) {
 	sv, ok := (*rt.services.Load())[name]
 	if !ok {
 		rt.unrouted.Inc()
@@ -187,14 +214,18 @@
 	}
 	now := rt.now()
 	sv.mu.Lock()
-	ch := sv.group.pick(now, idempotent, exclude)
+	ch := sv.group.pick(now, &rq, exclude)
 	var up Upstream
 	var limit gypsumhoist.RateLimit
 	if ch.member != nil {
 		up = ch.member.upstream
 		limit = sv.group.beliefs[up.Instance].rateLimit
 	}
+	nt := sv.group.notes(ch.member)
 	sv.mu.Unlock()
+	if nt.change != nil || nt.gauge != nil {
+		nt.apply(rt, name, sv)
+	}
 	if ch.member == nil {
 		rt.unrouted.Inc()
 		return Pick{}, errNoUpstream
@@ -250,6 +281,9 @@
 		return
 	}
 	now := pk.router.now()
+	if !pk.router.loadReports {
+		rp.Load = LoadReport{}
+	}
 	pk.service.mu.Lock()
 	changed := pk.service.group.report(now, pk.Upstream.Instance, rp)
 	pk.service.mu.Unlock()
--- a/router/site_test.go
+++ b/router/site_test.go
@@ -73,7 +73,10 @@
 	slowShare, slowFactor float64
 	slowInterval          time.Duration
 	reports               bool
-	seed                  uint64
+	// spillover configures the nodes, unless everywhere makes them take all domains for equally near.
+	spillover  router.Spillover
+	everywhere bool
+	seed       uint64
 }
 
 // site simulates nodes that call the upstreams of one service, in virtual time and without goroutines.
@@ -87,6 +90,7 @@
 	byName    map[gypsumhoist.Instance]*siteUpstream
 	groups    map[gypsumhoist.FailureDomain][]*router.Group
 	tally     map[gypsumhoist.FailureDomain]*tally
+	kinds     map[string]*tally // by the kinds of requests
 }
 
 // tally counts the requests of the callers of one domain.
@@ -100,7 +104,7 @@
 func newSite(pl sitePlan) *site {
 	st := &site{
 		plan: pl, random: rand.New(rand.NewPCG(pl.seed, 1)), byName: map[gypsumhoist.Instance]*siteUpstream{},
-		groups: map[gypsumhoist.FailureDomain][]*router.Group{}, tally: map[gypsumhoist.FailureDomain]*tally{},
+		groups: map[gypsumhoist.FailureDomain][]*router.Group{}, tally: map[gypsumhoist.FailureDomain]*tally{}, kinds: map[string]*tally{},
 	}
 	var all []router.Upstream
 	for _, dm := range pl.domains {
@@ -117,12 +121,17 @@
 	}
 	for _, dm := range pl.domains {
 		for at := range pl.nodes {
-			gr := router.NewGroup(dm, rand.New(rand.NewPCG(pl.seed+uint64(at)*7, uint64(dm[0]))))
+			local := dm
+			if pl.everywhere {
+				local = ""
+			}
+			gr := router.NewGroup(local, rand.New(rand.NewPCG(pl.seed+uint64(at)*7, uint64(dm[0]))))
 			for _, other := range pl.domains {
-				if other != dm {
+				if other != local && !pl.everywhere {
 					gr.SetDelay(other, pl.delay)
 				}
 			}
+			gr.SetSpillover(pl.spillover)
 			gr.SetUpstreams(0, all)
 			st.groups[dm] = append(st.groups[dm], gr)
 		}
@@ -158,6 +167,9 @@
 
 // load lets the callers of a domain make requests at a rate per second that may change with time, until a time.
 func (st *site) load(dm gypsumhoist.FailureDomain, rate func(at time.Duration) float64, until time.Duration, rq siteRequest) {
+	if rq.kind != "" && st.kinds[rq.kind] == nil {
+		st.kinds[rq.kind] = &tally{}
+	}
 	wait := time.Duration(st.random.ExpFloat64() / max(rate(st.now), 0.01) * float64(time.Second))
 	st.after(wait, func() {
 		if st.now > until {
@@ -188,27 +200,40 @@
 	work   time.Duration
 	target time.Duration
 	bytes  int
-	tried  []gypsumhoist.Instance
+	// importance is that of the request.
+	importance gypsumhoist.Importance
+	kind       string
+	tried      []gypsumhoist.Instance
 }
 
 const siteAttempts = 3
 
+// linkBytes is how many bytes a second a node's link carries between domains: 200 Mbit/s.
+const linkBytes = 25_000_000
+
 func (st *site) try(gr *router.Group, rq *siteRequest) {
-	tl := st.tally[rq.domain]
+	count := func(num func(tl *tally)) {
+		num(st.tally[rq.domain])
+		if rq.kind != "" {
+			num(st.kinds[rq.kind])
+		}
+	}
 	if len(rq.tried) == 0 {
-		tl.requests++
+		count(func(tl *tally) { tl.requests++ })
 	}
-	ch := gr.PickAt(st.now, rq.tried...)
+	ch := gr.PickForAt(st.now, router.Request{
+		Idempotent: true, Importance: rq.importance, Bytes: rq.bytes, Remaining: rq.target - (st.now - rq.began),
+	}, rq.tried...)
 	up, ok := ch.Upstream()
 	if !ok || len(rq.tried) >= siteAttempts {
 		if ok {
 			gr.DoneAt(st.now, ch, router.Outcome{Result: router.ResultNeutral})
 		}
-		tl.refused++
+		count(func(tl *tally) { tl.refused++ })
 		return
 	}
 	rq.tried = append(rq.tried, up.Instance)
-	tl.attempts++
+	count(func(tl *tally) { tl.attempts++ })
 	su := st.byName[up.Instance]
 	delay := 100 * time.Microsecond
 	if up.Domain != rq.domain {
@@ -218,7 +243,11 @@
 	st.after(delay, func() {
 		su.arrive(&siteCall{work: rq.work, arrived: st.now, end: func(served bool) {
 			load, rp := su.feedback()
-			st.after(delay, func() {
+			back := delay
+			if up.Domain != rq.domain && served {
+				back += time.Duration(rq.bytes) * time.Second / linkBytes
+			}
+			st.after(back, func() {
 				if st.plan.reports {
 					gr.ReportAt(st.now, up.Instance, rp)
 				}
@@ -227,21 +256,24 @@
 					oc.Result = router.ResultOverloaded
 				}
 				gr.DoneAt(st.now, ch, oc)
-				if up.Domain != rq.domain && served {
-					tl.away++
-					tl.bytesAway += rq.bytes
-				}
-				switch {
-				case !served:
-					tl.refusals++
+				if !served {
+					count(func(tl *tally) { tl.refusals++ })
 					st.try(gr, rq)
-				case st.now-rq.began <= rq.target:
-					tl.inTime++
-					tl.waited += st.now - rq.began
-				default:
-					tl.late++
-					tl.waited += st.now - rq.began
+					return
 				}
+				count(func(tl *tally) {
+					if up.Domain != rq.domain {
+						tl.away++
+						tl.bytesAway += rq.bytes
+					}
+					took := st.now - rq.began
+					tl.waited += took
+					if took <= rq.target {
+						tl.inTime++
+					} else {
+						tl.late++
+					}
+				})
 			})
 		}})
 	})
