--- a/loader/check.go
+++ b/loader/check.go
@@ -52,6 +52,7 @@
 	ck.tls(st)
 	ck.bounds(st.Bounds)
 	ck.upstream(st.Upstream)
+	ck.routing(st.Routing)
 	ck.rates(st)
 	ck.duration("stop.killed_after", st.Stop.KilledAfter, 0, durationMax)
 	ck.duration("stop.grace", st.Stop.Grace, 0, durationMax)
@@ -152,6 +153,16 @@
 	}
 }
 
+func (ck *checker) routing(rt Routing) {
+	if sp := rt.Spillover; sp != SpilloverPriced && sp != SpilloverOverflow && sp != SpilloverOff {
+		ck.add("routing.spillover", sp, `"priced", "overflow" or "off"`)
+	}
+	if !(rt.SpilloverMaxShare >= 0 && rt.SpilloverMaxShare <= 1) {
+		ck.add("routing.spillover_max_share", rt.SpilloverMaxShare, "0 to 1")
+	}
+	ck.duration("routing.spillover_per_megabyte", rt.SpilloverPerMegabyte, 0, durationMax)
+}
+
 func (ck *checker) bounds(bd Bounds) {
 	if bd.HeaderBytes < headerBytesMin || bd.HeaderBytes > headerBytesMax {
 		ck.add("bounds.header_bytes", bd.HeaderBytes, fmt.Sprintf("%d to %d bytes", headerBytesMin, headerBytesMax))
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -40,6 +40,7 @@
 	Rates      Rates    `toml:"rates"`
 	Claims     Claims   `toml:"claims"`
 	Upstream   Upstream `toml:"upstream"`
+	Routing    Routing  `toml:"routing"`
 	Bounds     Bounds   `toml:"bounds"`
 	Stop       Stop     `toml:"stop"`
 }
@@ -135,6 +136,30 @@
 	UnframedAnswers UnframedPolicy `toml:"unframed_answers"`
 }
 
+// SpilloverPolicy says when calls leave the failure domain, for services whose upstreams report their pace.
+type SpilloverPolicy string
+
+// Kinds of SpilloverPolicy.
+const (
+	// SpilloverPriced lets a call leave if its domain has no room and leaving costs less than staying.
+	SpilloverPriced SpilloverPolicy = "priced"
+	// SpilloverOverflow takes the nearest domain with room, as for all other services.
+	SpilloverOverflow SpilloverPolicy = "overflow"
+	// SpilloverOff lets no call leave while an upstream of its domain is usable.
+	SpilloverOff SpilloverPolicy = "off"
+)
+
+// Routing configures the choice of upstreams. It concerns only services whose upstreams report their pace.
+type Routing struct {
+	// LoadReports makes use of the loads and paces that upstreams report. Without it, upstreams are chosen as if they reported none.
+	LoadReports bool            `toml:"load_reports"`
+	Spillover   SpilloverPolicy `toml:"spillover"`
+	// SpilloverMaxShare is the largest share of a service's calls that may leave the node's failure domain.
+	SpilloverMaxShare float64 `toml:"spillover_max_share"`
+	// SpilloverPerMegabyte is the waiting time that a megabyte between failure domains is worth.
+	SpilloverPerMegabyte Duration `toml:"spillover_per_megabyte"`
+}
+
 // Bounds limit the resources that callers can use.
 type Bounds struct {
 	HeaderBytes int      `toml:"header_bytes"`
@@ -205,8 +230,11 @@
 		},
 		Rates:    Rates{Keepers: KeepersElected},
 		Upstream: Upstream{Lapse: Duration(3 * time.Second), IdleTime: Duration(30 * time.Second), UnframedAnswers: UnframedRefuse},
-		Control:  Control{LossesBorne: lossesBorneMax},
-		Stop:     Stop{Grace: Duration(3 * time.Second), Longest: Duration(60 * time.Second)},
+		Routing: Routing{
+			LoadReports: true, Spillover: SpilloverPriced, SpilloverMaxShare: 1, SpilloverPerMegabyte: Duration(40 * time.Millisecond),
+		},
+		Control: Control{LossesBorne: lossesBorneMax},
+		Stop:    Stop{Grace: Duration(3 * time.Second), Longest: Duration(60 * time.Second)},
 	}
 }
 
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -49,6 +49,10 @@
 		Entry("an upstream port beyond loopback", `127.0.0.1:7401`, `10.0.0.1:7401`, "listen.upstream", "10.0.0.1"),
 		Entry("a peer port beyond loopback without TLS", `127.0.0.1:7402`, `10.0.0.1:7402`, "listen.peers", "10.0.0.1"),
 		Entry("an operator port beyond loopback without TLS", `127.0.0.1:7403`, `10.0.0.1:7403`, "listen.operator", "10.0.0.1"),
+		Entry("an unknown spillover", "[stop]", "[routing]\nspillover = \"always\"\n[stop]", "routing.spillover", "always"),
+		Entry("a share above 1", "[stop]", "[routing]\nspillover_max_share = 1.5\n[stop]", "routing.spillover_max_share", "1.5"),
+		Entry("a share that is no number", "[stop]", "[routing]\nspillover_max_share = nan\n[stop]", "routing.spillover_max_share", "NaN"),
+		Entry("a negative price", "[stop]", "[routing]\nspillover_per_megabyte = \"-1s\"\n[stop]", "routing.spillover_per_megabyte", "-1s"),
 		Entry("a negative grace", `"2s"`, `"-2s"`, "stop.grace", "-2s"),
 	)
 
