--- a/server/node.go
+++ b/server/node.go
@@ -61,7 +61,8 @@
 	nd := &node{
 		sv: sv, holder: holder, records: explainer.New(maxRecords), watching: map[gypsumhoist.Service]bool{},
 		router: router.New(sv.settings.FailureDomain, router.WithLogger(sv.logger),
-			router.WithMetrics(sv.metrics), router.WithRandom(sv.forkRandom())),
+			router.WithMetrics(sv.metrics), router.WithRandom(sv.forkRandom()),
+			router.WithLoadReports(sv.settings.Routing.LoadReports), router.WithSpillover(spillover(sv.settings.Routing))),
 		admitter: admitter.New(admitter.WithLogger(sv.logger), admitter.WithMetrics(sv.metrics), admitter.WithRandom(sv.forkRandom())),
 	}
 	nd.quarantine = newQuarantineAdapter(sv, nd)
@@ -99,6 +100,20 @@
 	return nd
 }
 
+// spillover returns the router's configuration for the settings.
+func spillover(rt loader.Routing) router.Spillover {
+	sp := router.Spillover{MaxShare: rt.SpilloverMaxShare, PerMegabyte: time.Duration(rt.SpilloverPerMegabyte)}
+	switch rt.Spillover {
+	case loader.SpilloverPriced:
+		sp.Mode = router.SpilloverPriced
+	case loader.SpilloverOverflow:
+		sp.Mode = router.SpilloverOverflow
+	case loader.SpilloverOff:
+		sp.Mode = router.SpilloverOff
+	}
+	return sp
+}
+
 // outbound returns the handler of the upstream port: announcements and the upstream's own calls.
 func (nd *node) outbound() http.Handler { return nd.announcer.Handler(nd.forwarder.Outbound()) }
 
