forwarder: the router is told the size, importance and time left of a call

The size of a route's responses is learned from complete ones, also of those without a length, and only for services whose upstreams report their pace. Load reports carry the time that the call was at the upstream's node (held_us), so that the calling node knows the delay to other domains, which nobody measured. Absent, as from older builds: the delay of the domain as before.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -23,6 +23,7 @@
 	hop         *forwarderpb.Hop
 	started     time.Time
 	headLatency time.Duration
+	counted     *countedBody // the answer's body if its length is not known
 }
 
 // local runs the call at this node's own upstream.
@@ -37,6 +38,7 @@
 		at.refused(rf, head)
 		return nil, rf
 	}
+	at.countBody(rn.rs)
 	rp := &reply{rs: rn.rs, childRefused: rn.call.Refused(), childFailed: rn.call.Failed}
 	rp.onEnd = func(err error) {
 		unspent := rn.end(err)
@@ -68,12 +70,15 @@
 	if rf != nil {
 		return nil, rf
 	}
-	at.pick.Report(reportOf(fb))
+	report := reportOf(fb)
+	report.RoundTrip = roundTripOf(fb, at.headLatency)
+	at.pick.Report(report)
 	if fb.GetRefused() {
 		// The body of a refusal is not needed; closing only frees the connection.
 		_ = rs.Body.Close()
 		return nil, at.refused(refusalOf(fb), fb)
 	}
+	at.countBody(rs)
 	rp := &reply{rs: rs, childRefused: fb.GetChildRefused(), childFailed: fb.GetChildFailed}
 	rp.onEnd = func(err error) { at.answered(rs, lastFeedback(rs, fb), err) }
 	return rp, nil
@@ -133,6 +138,9 @@
 	if err != nil || fb.GetChildRefused() {
 		oc.Result = router.ResultNeutral
 	}
+	if err == nil {
+		at.learnBytes(rs)
+	}
 	at.pick.Done(oc)
 }
 
--- a/forwarder/export_test.go
+++ b/forwarder/export_test.go
@@ -20,6 +20,9 @@
 // LastFeedback exports lastFeedback.
 var LastFeedback = lastFeedback
 
+// ExpectedBytes returns the expected size of a response of a route.
+func (fw *Forwarder) ExpectedBytes(route string) int { return fw.routeBytes.expected(route) }
+
 // NestedStats exports nestedStats.
 type NestedStats struct{ nestedStats }
 
--- a/forwarder/history.go
+++ b/forwarder/history.go
@@ -57,7 +57,7 @@
 // pick chooses the upstream of the next attempt: one that was not tried yet, or else a retryable one.
 func (fw *Forwarder) pick(cl *call, ah *attemptHistory) (router.Pick, error) {
 	if !ah.exhausted(cl) {
-		pk, err := fw.router.Pick(cl.service, cl.idempotent, ah.tried...)
+		pk, err := fw.router.PickFor(cl.service, fw.routingRequest(cl), ah.tried...)
 		if err == nil {
 			ah.tried = append(ah.tried, pk.Upstream.Instance)
 			return pk, nil
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -31,6 +31,7 @@
 
 // serveHop runs another node's call at this node's upstream.
 func (fw *Forwarder) serveHop(wr http.ResponseWriter, req *http.Request, hop *forwarderpb.Hop) {
+	arrived := time.Now()
 	left := time.Duration(hop.GetDeadlineUs()) * time.Microsecond
 	ctx, cancel := context.WithTimeout(req.Context(), left)
 	defer cancel()
@@ -51,6 +52,7 @@
 	}
 	head := fw.feedback(hop, unspent)
 	head.ChildRefused, head.ChildFailed = rn.call.Refused(), rn.call.Failed()
+	noteHeld(head, arrived)
 	wr.Header().Set(HeaderFeedback, encode(head))
 	if err := copyAnswer(wr, rp.rs); err != nil {
 		rp.end(err)
--- a/forwarder/load_test.go
+++ b/forwarder/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -48,4 +49,40 @@
 		Expect(entry.rt.ReportsPace("slips")).To(BeFalse(), "passing a report on does not make it younger")
 		Expect(nd.rt.ReportsPace("slips")).To(BeFalse())
 	}))
+
+	// Guards against the size of responses without a length being taken for zero, so that large ones would leave the domain first.
+	It("lets the nodes that call it learn the size of its responses, also of those without a length", withFleet(func(fl *fleet) {
+		reports := false
+		nd := fl.add("slips-1", func(wr http.ResponseWriter, req *http.Request) {
+			if reports {
+				wr.Header().Set(gypsumhoist.HeaderLoad, "running=1, waiting=0, slots=20, pace_percent=100")
+			}
+			if strings.HasPrefix(req.URL.Path, "/slips/chunked") {
+				_ = http.NewResponseController(wr).Flush()
+			}
+			_, _ = wr.Write(make([]byte, 100_000))
+		})
+		entry := fl.add("roster-1", respond(""))
+		routes := []string{"/slips/chunked", "/slips/sized"}
+		for _, route := range routes {
+			fl.row(registrar.Row{Workspace: "kingston", Route: route, Service: "slips", Deadline: 2 * time.Second})
+		}
+		key := fl.grant("kingston")
+		for _, from := range []*node{entry, nd} {
+			for _, route := range routes {
+				reports = false
+				for range 2 {
+					_, body, err := fl.call(from, "GET", route, "", gypsumhoist.HeaderKey, key)
+					Expect(err).NotTo(HaveOccurred())
+					Expect(body).To(HaveLen(100_000))
+					if !reports && route == routes[0] {
+						Expect(from.fw.ExpectedBytes(route)).To(BeZero(), "the service reports no pace")
+					}
+					reports = true
+				}
+				Expect(from.fw.ExpectedBytes(route)).To(Equal(100_000), route)
+			}
+			time.Sleep(11 * time.Second)
+		}
+	}))
 })
--- a/forwarder/report.go
+++ b/forwarder/report.go
@@ -1,7 +1,10 @@
 package forwarder
 
 import (
+	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
@@ -81,6 +84,22 @@
 	}
 }
 
+// noteHeld adds to a load report the time that the call has been at this node.
+func noteHeld(fb *forwarderpb.Feedback, arrived time.Time) {
+	if fb.GetLoad() != nil {
+		fb.Load.HeldUs = max(1, time.Since(arrived).Microseconds())
+	}
+}
+
+// roundTripOf returns the time of the way to another node and back, zero if that is not known.
+func roundTripOf(fb *forwarderpb.Feedback, headLatency time.Duration) time.Duration {
+	held := time.Duration(fb.GetLoad().GetHeldUs()) * time.Microsecond
+	if held <= 0 {
+		return 0
+	}
+	return max(0, headLatency-held)
+}
+
 // loadReportOf returns the load report in a feedback. One that is absent or invalid says nothing.
 func loadReportOf(fb *forwarderpb.Feedback) router.LoadReport {
 	msg := fb.GetLoad()
@@ -96,6 +115,82 @@
 	}
 }
 
+// routingRequest returns what the router needs to know about a call.
+func (fw *Forwarder) routingRequest(cl *call) router.Request {
+	rq := router.Request{Idempotent: cl.idempotent}
+	if !fw.router.ReportsPace(cl.service) {
+		return rq
+	}
+	rq.Nested, rq.Importance = cl.nested, cl.importance
+	rq.Bytes = fw.routeBytes.expected(cl.row.Route) + int(max(cl.body.length, 0))
+	rq.Remaining = time.Until(cl.deadline)
+	if target := cl.row.TargetLatency; target > 0 {
+		rq.Remaining = max(time.Millisecond, min(rq.Remaining, target-elapsed(cl)))
+	}
+	return rq
+}
+
+// routeBytes estimates the size of the responses of each route. It is safe for concurrent use; the zero value has no estimates.
+type routeBytes struct {
+	mu    sync.Mutex
+	means map[string]float64
+}
+
+// learn adds the size of a complete response of a route.
+func (rb *routeBytes) learn(route string, size int64) {
+	rb.mu.Lock()
+	defer rb.mu.Unlock()
+	mean, known := rb.means[route]
+	switch {
+	case known:
+		rb.means[route] = mean + ewmaWeight*(float64(size)-mean)
+	case len(rb.means) < statsRoutesMax:
+		if rb.means == nil {
+			rb.means = map[string]float64{}
+		}
+		rb.means[route] = float64(size)
+	}
+}
+
+// expected returns the expected size of a response of a route, zero if it is not known.
+func (rb *routeBytes) expected(route string) int {
+	rb.mu.Lock()
+	defer rb.mu.Unlock()
+	return int(rb.means[route])
+}
+
+// countBody makes the body of an answer count its bytes if the answer does not give its length and the count is needed.
+func (at *attempt) countBody(rs *http.Response) {
+	if rs.ContentLength < 0 && rs.Body != nil && at.fw.router.ReportsPace(at.cl.service) {
+		at.counted = &countedBody{ReadCloser: rs.Body}
+		rs.Body = at.counted
+	}
+}
+
+// learnBytes adds the size of a complete answer to the estimate of its route.
+func (at *attempt) learnBytes(rs *http.Response) {
+	size := rs.ContentLength
+	if at.counted != nil {
+		size = at.counted.bytes.Load()
+	}
+	if size >= 0 && rs.StatusCode < http.StatusMultipleChoices && at.fw.router.ReportsPace(at.cl.service) {
+		at.fw.routeBytes.learn(at.cl.row.Route, size)
+	}
+}
+
+// countedBody is an answer's body that counts the bytes read.
+type countedBody struct {
+	io.ReadCloser
+	bytes atomic.Int64
+}
+
+// Read implements io.Reader.
+func (cb *countedBody) Read(buf []byte) (int, error) {
+	num, err := cb.ReadCloser.Read(buf)
+	cb.bytes.Add(int64(num))
+	return num, err
+}
+
 // drainingProcess returns the id of the upstream's process if it has said that it drains, and nil otherwise: when it started, in Unix
 // milliseconds, 0 if that is not known.
 func (fw *Forwarder) drainingProcess() *int64 {
