router: false load reports can't make an upstream count as full

Reports now weigh in the comparison of two upstreams only; room is judged by the node's count and limit and by refusals, as for other services.

--- a/router/pick.go
+++ b/router/pick.go
@@ -62,7 +62,7 @@
 	tiers := gr.tiers
 	if gr.loads.inUse && gr.spillover.Mode != SpilloverOverflow && len(tiers) > 0 {
 		best = gr.chooseByCost(now, rq, exclude)
-		if best != nil && !gr.saturated(now, best) {
+		if best != nil && !best.saturated(now) {
 			return best
 		}
 		if best != nil {
@@ -74,16 +74,16 @@
 		if mb == nil {
 			continue
 		}
-		if !gr.saturated(now, mb) {
+		if !mb.saturated(now) {
 			return mb
 		}
-		use := gr.use(now, mb)
+		use := mb.utilisation(now)
 		if best == nil || use < bestUse-distanceMargin {
 			best, bestUse = mb, use
 		}
 	}
 	stopping := gr.cheapest(now, gr.stopping, exclude)
-	if best != nil && (stopping == nil || gr.saturated(now, stopping) && now >= best.leavingUntil) {
+	if best != nil && (stopping == nil || stopping.saturated(now) && now >= best.leavingUntil) {
 		return best
 	}
 	return cmp.Or(stopping, gr.cheapest(now, gr.silent, exclude))
--- a/router/predict.go
+++ b/router/predict.go
@@ -204,11 +204,6 @@
 	return (held+1)/capacity + penalty
 }
 
-// saturated reports whether a member has no room for one more request, fails too often, or is leaving.
-func (gr *Group) saturated(now time.Duration, mb *member) bool {
-	return now < mb.overloadedUntil || now < mb.leavingUntil || gr.use(now, mb) > 1
-}
-
 // predictedCompletion returns the time in which a member is expected to complete one more request, as a multiple of the typical service
 // time: requests held divided by slots, times pace and service time. Recent refusals and failures add to it.
 //
--- a/router/spillover.go
+++ b/router/spillover.go
@@ -190,7 +190,7 @@
 func (gr *Group) stayCost(now time.Duration, rq *Request, mb *member) float64 {
 	cost := refusedCost
 	if now >= mb.overloadedUntil && now >= mb.leavingUntil {
-		wait := max(0, gr.use(now, mb)-1) * gr.serviceTime(mb) * mb.prediction.paceNow(now)
+		wait := max(0, mb.utilisation(now)-1) * gr.serviceTime(mb) * mb.prediction.paceNow(now)
 		cost = min(cost, wait+refusedCost*gr.homeRefused.now(now)/max(1, gr.homeEnded.now(now)))
 	}
 	return cost * (0.5 + float64(rq.Importance)/float64(gypsumhoist.ImportanceMax))
@@ -206,13 +206,13 @@
 func (gr *Group) chooseByCost(now time.Duration, rq *Request, exclude []gypsumhoist.Instance) *member {
 	home := &gr.tiers[0]
 	mb := gr.betterOfTwo(now, home, exclude)
-	if mb == nil || !gr.saturated(now, mb) {
+	if mb == nil || !mb.saturated(now) {
 		return mb
 	}
 	from := gr.random.IntN(len(home.members))
 	for at := range min(len(home.members), homeDraws) {
 		other := home.members[(from+at)%len(home.members)]
-		if gr.usable(other, exclude) && !gr.saturated(now, other) && gr.passesSlowStart(now, other) {
+		if gr.usable(other, exclude) && !other.saturated(now) && gr.passesSlowStart(now, other) {
 			return other
 		}
 	}
@@ -238,7 +238,7 @@
 		for range maxDraws {
 			mb := tr.members[tr.byCapacity.draw(gr.random)]
 			if luck >= mb.away.chance(now, rank) || !gr.usable(mb, exclude) || mb.slowStartFactor(now) < 1 ||
-				gr.saturated(now, mb) || gr.use(now, mb) > awayRoom {
+				mb.saturated(now) || mb.utilisation(now) > awayRoom {
 				continue
 			}
 			delay := gr.delayTo(now, mb)
