forwarder: an answer that breaks off resets an HTTP/1.0 caller's connection

For a caller of HTTP/1.0 the end of the connection is the end of an answer without a known length. Aborting the handler closes the connection in order, so that an answer of more than 64 KiB that broke off looked complete. connector.ResetResponse takes the connection over and resets it, also below TLS, whose close notification would be an orderly end. The emulated network's connections can be reset, too (SetLinger).

--- a/connector/emulator/conn.go
+++ b/connector/emulator/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 )
 
@@ -11,6 +12,8 @@
 	network       *Network
 	local, remote netip.AddrPort
 	in, out       *stream
+	// resets is set if Close resets the connection instead of ending it in order.
+	resets atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -25,8 +28,17 @@
 	return nil
 }
 
+// SetLinger makes Close reset the connection if the time is zero, as for a TCP connection. Other times have no effect.
+func (cn *conn) SetLinger(sec int) error {
+	cn.resets.Store(sec == 0)
+	return nil
+}
+
 // Close implements net.Conn.
 func (cn *conn) Close() error {
+	if cn.resets.Load() {
+		cn.out.reset()
+	}
 	cn.out.closeWrite()
 	cn.in.closeRead()
 	cn.network.mu.Lock()
--- a/forwarder/broken_answer_test.go
+++ b/forwarder/broken_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -141,3 +142,31 @@
 		}
 	}
 })
+
+var _ = Describe("an answer that breaks off after it has begun", func() {
+	for _, version := range []string{"1.0", "1.1"} {
+		for _, remote := range []bool{false, true} {
+			where := map[bool]string{false: "the node beside the upstream", true: "another node"}[remote]
+			It("has no orderly end for a caller of HTTP/"+version+" at "+where, withFleet(func(fl *fleet) {
+				part := strings.Repeat("a", 100<<10)
+				entry := fl.addRaw("slips-1", &rawUpstream{answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n19000\r\n" + part + "\r\n", reads: true})
+				if remote {
+					entry = fl.add("roster-1", respond("never"))
+				}
+				fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips"})
+				key := fl.grant("kingston")
+				cn, err := fl.transport.DialContext(context.Background(), "tcp", netip.AddrPortFrom(entry.addr, portCallers).String())
+				Expect(err).NotTo(HaveOccurred())
+				defer cn.Close()
+				_, err = io.WriteString(cn, "GET /slips HTTP/"+version+"\r\nHost: kingston\r\n"+gypsumhoist.HeaderKey+": "+key+"\r\n\r\n")
+				Expect(err).NotTo(HaveOccurred())
+				rs, err := http.ReadResponse(bufio.NewReader(cn), nil)
+				if err == nil {
+					Expect(rs.StatusCode).To(Equal(200))
+					_, err = io.Copy(io.Discard, rs.Body)
+				}
+				Expect(err).To(HaveOccurred())
+			}))
+		}
+	}
+})
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -18,10 +18,12 @@
 
 // call is one request that came to this node from a caller or from the node's own upstream.
 type call struct {
-	id        gypsumhoist.RequestID
-	workspace gypsumhoist.Workspace
-	keyID     registrar.KeyID
-	row       *registrar.Row
+	// fromHTTP10 is set if the end of the connection may mark the end of the answer.
+	fromHTTP10 bool
+	id         gypsumhoist.RequestID
+	workspace  gypsumhoist.Workspace
+	keyID      registrar.KeyID
+	row        *registrar.Row
 	// workspaceRow limits all routes of the workspace together; nil if nothing does.
 	workspaceRow *registrar.Row
 	// service is the destination of the request; a row with a split chooses it for each request.
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/connector"
 )
 
 // prefetchMax is the size in bytes up to which a node reads an answer completely before it passes on the first byte,
@@ -115,6 +116,9 @@
 	cl.record.Note("forwarder", "answer aborted", err.Error())
 	fw.meters.aborted()
 	fw.finish(cl, false)
+	if cl.fromHTTP10 {
+		connector.ResetResponse(wr)
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -25,7 +25,7 @@
 
 // serve handles one request from its arrival to the end of its answer.
 func (fw *Forwarder) serve(wr http.ResponseWriter, req *http.Request, enter func(*http.Request, *call) *gypsumhoist.Refusal) {
-	cl := &call{id: fw.identify(req), started: time.Now()}
+	cl := &call{id: fw.identify(req), started: time.Now(), fromHTTP10: req.ProtoMajor == 1 && req.ProtoMinor == 0}
 	cl.record = &explainer.Record{Request: cl.id, Instance: fw.instance, Started: cl.started, Method: req.Method}
 	req.Body = http.MaxBytesReader(wr, req.Body, fw.bodyBytes)
 	rf := enter(req, cl)
