admitter, forwarder: impatient requests carry their targets and go before patient ones

A request with a target of 0.25 s waited in each queue of its chain behind calls of the same importance whose requests had seconds to spare. An entry node now learns how long answered requests of a route take, by a low quantile. If the route's target leaves less than 500 ms beside that, the request carries the time until its target over the chain (Hop.target_us, field 52, absent means patient or not known), and its calls go first among equals as long as they can meet it. The time that a caller used in earlier attempts counts. Only services that report their pace are concerned.

core_test's model of the order has the new class.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -304,6 +304,9 @@
 		Paced:      rq.Paced,
 		MaxWait:    rq.MaxWait,
 	}
+	if !rq.Target.IsZero() {
+		cr.Target = rq.Target.Sub(ad.start)
+	}
 	if !rq.Deadline.IsZero() {
 		cr.Deadline = max(rq.Deadline.Sub(ad.start), 1)
 	}
--- a/admitter/api.go
+++ b/admitter/api.go
@@ -28,6 +28,9 @@
 	Paced bool
 	// MaxWait limits how long the request may wait while it is among the least important; zero leaves that to the admitter.
 	MaxWait time.Duration
+	// Target is when the answer is due for the request at the entry of the call chain to meet its target, if waiting could make it miss
+	// that; such calls go before patient ones of their importance. The zero time means a patient request, or that nothing is known.
+	Target time.Time
 	// Deadline is when the complete answer is due; the zero time means no deadline.
 	Deadline time.Time
 }
--- a/admitter/committed_test.go
+++ b/admitter/committed_test.go
@@ -64,3 +64,29 @@
 		}
 	})
 })
+
+// Guards against requests that miss a short target because others of their importance, with time to spare, are served first.
+var _ = Describe("a call whose request can still meet its target", func() {
+	It("goes before committed calls of its importance, and one that can't does not", func() {
+		core := admitter.NewCore(1, rand.New(rand.NewPCG(1, 1)))
+		arrive := func(target time.Duration, committed bool) admitter.ID {
+			id, _ := core.Arrive(time.Second, admitter.CoreRequest{
+				Workspace: "kingston", Route: "/names", Weight: 1, Importance: 50, Depth: 1, Deadline: time.Hour, Committed: committed, Target: target,
+			})
+			return id
+		}
+		arrive(0, false)
+		late := arrive(time.Millisecond, false)
+		committed := arrive(0, true)
+		inTime := arrive(2*time.Second, false)
+		var order []admitter.ID
+		for range 3 {
+			core.Done(time.Second, time.Millisecond, "/names", admitter.OutcomeAnswered)
+			for _, nt := range core.Notices() {
+				Expect(nt.Decision).To(Equal(admitter.Started{}))
+				order = append(order, nt.ID)
+			}
+		}
+		Expect(order).To(Equal([]admitter.ID{inTime, committed, late}))
+	})
+})
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -30,7 +30,11 @@
 	// Paced reports that upstreams of the service report their pace; it allows trials with some slots free.
 	Paced bool
 
-	probe bool // it runs against the estimate of its route, to refresh it
+	// Target is when the answer is due for its request to meet its target, if waiting could make it miss that; zero for patient requests.
+	Target time.Duration
+
+	urgent bool // Target is known and can be met
+	probe  bool // it runs against the estimate of its route, to refresh it
 }
 
 // Decision is what a Core decides about a request: Started, Waiting or Refused.
@@ -117,6 +121,7 @@
 	if rq.Paced {
 		co.limit.knee.enable(now)
 	}
+	rq.urgent = rq.Target > now+co.times.low(rq.Route)
 	free := co.queue.len() == 0 && co.mayStart(now)
 	if rq.Siblings && co.refusedJointly(now, rq, free) {
 		co.cutOff.refused(now, rk)
--- a/admitter/core_test.go
+++ b/admitter/core_test.go
@@ -24,13 +24,17 @@
 }
 
 func (mo *model) rank(rq admitter.CoreRequest) int {
+	rank := 6 * int(rq.Importance)
+	if rq.Target != 0 {
+		rank += 3
+	}
 	switch {
 	case rq.Depth == 0:
-		return 3 * int(rq.Importance)
+		return rank
 	case rq.Committed:
-		return 3*int(rq.Importance) + 2
+		return rank + 2
 	default:
-		return 3*int(rq.Importance) + 1
+		return rank + 1
 	}
 }
 
@@ -144,6 +148,9 @@
 		Committed:  rapid.Bool().Draw(rt, "committed"),
 		Deadline:   mo.now + time.Duration(rapid.IntRange(1, 1000).Draw(rt, "left"))*time.Millisecond,
 	}
+	if rapid.Bool().Draw(rt, "urgent") {
+		rq.Target = mo.now + time.Hour
+	}
 	id, dc := mo.core.Arrive(mo.now, rq)
 	mo.checkAll(map[admitter.ID]admitter.Decision{id: dc}, rq)
 }
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -7,17 +7,22 @@
 	"github.com/gypsumhoist/gypsumhoist"
 )
 
-// order is the place of a request among those that wait: by rank, and of nested calls the committed ones before the others.
+// order is the place of a request among those that wait: by importance, then those that would miss their targets by waiting before the
+// patient ones, then committed calls, other nested calls, and fresh requests.
 type order int
 
 const (
-	ordersPerImportance = 3
+	ordersPerUrgency    = 3
+	ordersPerImportance = 2 * ordersPerUrgency
 	orderCount          = ordersPerImportance * (int(gypsumhoist.ImportanceMax) + 1)
 )
 
 func orderOf(rq CoreRequest) order {
 	im := max(gypsumhoist.ImportanceMin, min(rq.Importance, gypsumhoist.ImportanceMax))
 	or := order(ordersPerImportance * im)
+	if rq.urgent {
+		or += ordersPerUrgency
+	}
 	switch {
 	case rq.Depth == 0:
 		return or
--- a/authenticator/calls.go
+++ b/authenticator/calls.go
@@ -28,6 +28,8 @@
 	Siblings bool
 	// Committed is set if an earlier nested call of the same call, or of one above it in its call chain, was answered.
 	Committed bool
+	// Target is when the request at the entry of the call chain is due to meet its target, if waiting could make it miss that; else zero.
+	Target time.Time
 
 	answered atomic.Int32
 	nested   atomic.Bool
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -161,6 +161,7 @@
 	at.hop.Siblings = fw.nestedStats.hasSiblings(cl.parent)
 	at.hop.Paced = fw.reportsPace(cl.service)
 	at.hop.Committed = at.hop.Paced && cl.committed()
+	at.hop.TargetUs = cl.targetLeft()
 	at.hop.Repeat = retried || cl.parent != nil && cl.parent.Repeat
 	out := fw.outgoing(ctx, req, cl)
 	var rp *reply
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -32,6 +32,8 @@
 	deadline   time.Time
 	budget     *retrier.Budget
 	nested     bool
+	// targetAt is when the request at the entry of the call chain is due to meet its target; zero if it is patient or that is not known.
+	targetAt time.Time
 	// throttlerAdmitted is set if the throttler let the request in, childRefused if a nested call of its upstream was refused.
 	throttlerAdmitted bool
 	childRefused      bool
@@ -201,6 +203,7 @@
 	cl.budget = parent.Budget
 	cl.nested = true
 	cl.parent = parent
+	cl.targetAt = parent.Target
 	parent.RecordNested()
 	if parent.Deadline.Before(cl.deadline) {
 		cl.deadline = parent.Deadline
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -80,6 +80,7 @@
 	meters         meters
 	nestedTargets  nestedTargets
 	nestedStats    nestedStats
+	durations      routeDurations
 	splitter       splitter
 	throttler      *throttler.Throttler
 	identify       func(*http.Request) gypsumhoist.RequestID
--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -115,6 +115,10 @@
 		fw.admitter.SetRateLimit(limit, admitter.RateLimitFromPeer)
 	}
 	deadline, _ := ctx.Deadline()
+	var target time.Time
+	if hop.GetPaced() {
+		target = targetOf(hop)
+	}
 	tk, err := fw.admitter.Admit(ctx, admitter.Request{
 		Workspace:  gypsumhoist.Workspace(hop.GetWorkspace()),
 		Route:      hop.GetRoute(),
@@ -125,6 +129,7 @@
 		Siblings:   hop.GetSiblings(),
 		Committed:  hop.GetCommitted(),
 		Paced:      hop.GetPaced(),
+		Target:     target,
 		Deadline:   deadline,
 		MaxWait:    time.Duration(hop.GetPatienceUs()) * time.Microsecond,
 	})
@@ -137,6 +142,14 @@
 	return nil
 }
 
+// targetOf returns when a call is due for its request to meet its target; the zero time if it is patient or that is not known.
+func targetOf(hop *forwarderpb.Hop) time.Time {
+	if hop.TargetUs == nil {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(hop.GetTargetUs()) * time.Microsecond)
+}
+
 // waitDetail describes a wait for a slot; it is empty below a millisecond, which no operator would notice.
 func waitDetail(waited time.Duration) string {
 	if waited < time.Millisecond {
@@ -166,6 +179,7 @@
 		Repeat:     hop.GetRepeat(),
 		Siblings:   hop.GetSiblings(),
 		Committed:  hop.GetCommitted(),
+		Target:     targetOf(hop),
 	}
 	rn.callToken = fw.calls.Begin(rn.call)
 	out.Header.Set(gypsumhoist.HeaderCall, rn.callToken)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -36,6 +36,7 @@
 		return
 	}
 	cl.applyCallerDeadline(req.Header)
+	fw.setTarget(cl)
 	fw.fillRecord(cl)
 	if rf := fw.bufferBody(req, cl); rf != nil {
 		fw.refuse(wr, cl, "forwarder", rf)
@@ -171,6 +172,7 @@
 // finish reports the end of a request to the throttler and the observer and saves the record.
 func (fw *Forwarder) finish(cl *call, succeeded bool) {
 	fw.reportToThrottler(cl)
+	fw.learnDuration(cl, succeeded)
 	cl.record.Late = cl.row != nil && cl.row.TargetLatency > 0 && time.Since(cl.started) > cl.row.TargetLatency
 	fw.saveRecord(cl.record)
 	if fw.observe == nil || cl.nested || cl.row == nil {
--- a/scheduler/chain_test.go
+++ b/scheduler/chain_test.go
@@ -96,13 +96,16 @@
 	commits bool
 	// paced is set if calls say that upstreams report their pace.
 	paced bool
+	// targets is set if impatient requests carry their targets, durations are what requests of each kind took.
+	targets   bool
+	durations map[*kind]time.Duration
 }
 
 func newFleet(seed uint64) *fleet {
 	return &fleet{
 		random: rand.New(rand.NewPCG(seed, 7)), domains: 1, workspaces: 40,
 		tallies: map[*kind]*tally{}, byWorkspace: map[gypsumhoist.Workspace]*tally{},
-		refusals: map[string]int{},
+		refusals: map[string]int{}, durations: map[*kind]time.Duration{},
 	}
 }
 
@@ -289,6 +292,9 @@
 	add(ta)
 }
 
+// impatientSlack is the slack below which a request is impatient, as in forwarder.
+const impatientSlack = 500 * time.Millisecond
+
 // repeatPause is how long a caller waits before it repeats a request after an answer without Retry-After.
 const repeatPause = 100 * time.Millisecond
 
@@ -300,7 +306,29 @@
 		id: gypsumhoist.RequestID(fmt.Sprint("attempt-", fl.lastID)), kind: rq.kind, workspace: rq.workspace,
 		importance: rq.kind.importance, deadline: rq.began + rq.kind.deadline,
 	}
-	entry.enter(cl, rq.ended)
+	target := rq.began + rq.kind.target
+	if fl.targets && rq.kind.target-fl.durations[rq.kind] < impatientSlack {
+		cl.target = target
+	}
+	began := fl.now
+	entry.enter(cl, func(rs result) {
+		if rs.answered {
+			fl.learnDuration(rq.kind, fl.now-began)
+		}
+		rq.ended(rs)
+	})
+}
+
+// learnDuration follows a low quantile of how long requests of a kind take, as forwarder does.
+func (fl *fleet) learnDuration(kd *kind, took time.Duration) {
+	switch short := fl.durations[kd]; {
+	case short == 0:
+		fl.durations[kd] = took
+	case took < short:
+		fl.durations[kd] -= short * 42 / 1000
+	default:
+		fl.durations[kd] += short * 18 / 1000
+	}
 }
 
 func (rq *request) ended(rs result) {
@@ -346,7 +374,8 @@
 	siblings   bool
 	// committed is set if an earlier call of its request, here or further up the chain, was answered.
 	committed bool
-	answered  int // nested calls
+	target    time.Duration // of an impatient request
+	answered  int           // nested calls
 }
 
 func (kd *kind) serviceTarget() admitter.Target { return admitter.Target{Service: kd.service.name} }
@@ -482,7 +511,7 @@
 	id, dc := nd.core.Arrive(nd.fleet.now, admitter.CoreRequest{
 		Workspace: cl.workspace, Route: cl.kind.name, Weight: 1, Importance: cl.importance, Depth: cl.depth, Deadline: cl.deadline,
 		Precedence: admitter.PrecedenceOf(cl.id), Siblings: cl.siblings, MaxWait: queueTimeout(cl.kind), Committed: cl.committed,
-		Paced: nd.fleet.paced,
+		Target: cl.target, Paced: nd.fleet.paced,
 	})
 	nd.service.calls++
 	nd.follow(id, dc, cl, done)
@@ -574,7 +603,7 @@
 	kd := cl.kind.nested[cl.answered]
 	child := &call{
 		id: cl.id, kind: kd, workspace: cl.workspace, importance: cl.importance, depth: cl.depth + 1,
-		deadline: min(cl.deadline, fl.now+kd.deadline), siblings: cl.siblings || len(cl.kind.nested) > 1, committed: fl.commits && (cl.committed || cl.answered > 0),
+		deadline: min(cl.deadline, fl.now+kd.deadline), siblings: cl.siblings || len(cl.kind.nested) > 1, target: cl.target, committed: fl.commits && (cl.committed || cl.answered > 0),
 	}
 	nd.send(child, 0, func(rs result) {
 		if !rs.answered {
--- a/scheduler/deployments_test.go
+++ b/scheduler/deployments_test.go
@@ -137,11 +137,14 @@
 	}
 }
 
-// compare runs both deployments unchanged and with a change, and returns what they count over all seeds.
-func compare(t *testing.T, build func(seed uint64) *fleet, change func(*fleet)) (before, after outcome) {
+// unchanged has everything switched off that the package is for.
+func unchanged(*fleet) {}
+
+// compare runs a deployment on a base and with a change, and returns what they count over all seeds.
+func compare(t *testing.T, build func(seed uint64) *fleet, base, change func(*fleet)) (before, after outcome) {
 	t.Helper()
 	for seed := range uint64(seeds) {
-		for out, apply := range map[*outcome]func(*fleet){&before: func(*fleet) {}, &after: change} {
+		for out, apply := range map[*outcome]func(*fleet){&before: base, &after: change} {
 			synctest.Test(t, func(t *testing.T) {
 				fl := build(seed)
 				apply(fl)
@@ -151,6 +154,7 @@
 				}
 				out.worth += fl.worth() / seeds
 				out.tally.add(fl.total())
+				out.add(fl)
 			})
 		}
 	}
@@ -161,10 +165,26 @@
 
 // outcome is what callers get on average.
 type outcome struct {
-	worth float64
-	tally tally
+	worth  float64
+	tally  tally
+	byKind map[string]tally
+}
+
+// add adds the counts by kind.
+func (oc *outcome) add(fl *fleet) {
+	if oc.byKind == nil {
+		oc.byKind = map[string]tally{}
+	}
+	for _, kd := range fl.kinds {
+		sum := oc.byKind[kd.name]
+		sum.add(*fl.tallies[kd])
+		oc.byKind[kd.name] = sum
+	}
 }
 
+// missed returns the share of the requests that were not answered in time.
+func (ta tally) missed() float64 { return 1 - float64(ta.inTime)/float64(max(ta.offered, 1)) }
+
 // String returns the worth and the shares of all requests.
 func (oc outcome) String() string {
 	share := func(count int) float64 { return float64(count) / float64(oc.tally.offered) }
@@ -182,7 +202,7 @@
 	for _, dp := range deployments {
 		t.Run(dp.name, func(t *testing.T) {
 			gm := gomega.NewWithT(t)
-			before, after := compare(t, dp.build, func(fl *fleet) { fl.commits = true })
+			before, after := compare(t, dp.build, unchanged, func(fl *fleet) { fl.commits = true })
 			gm.Expect(after.worth).To(gomega.BeNumerically(">", before.worth))
 			gm.Expect(after.served()).To(gomega.BeNumerically(">", before.served()))
 		})
@@ -195,14 +215,33 @@
 	leave := func(fl *fleet) { fl.paced = true }
 	t.Run("uneven servers", func(t *testing.T) {
 		gm := gomega.NewWithT(t)
-		before, after := compare(t, unevenServers, leave)
+		before, after := compare(t, unevenServers, unchanged, leave)
 		// With all slots in use the service does 1/1.3 of the work that it could do with nearly all; half of that is to be regained.
 		gm.Expect(after.served()).To(gomega.BeNumerically(">", 1.1*before.served()))
 		gm.Expect(after.worth).To(gomega.BeNumerically(">", before.worth))
 	})
 	t.Run("competing callers", func(t *testing.T) {
 		gm := gomega.NewWithT(t)
-		before, after := compare(t, competingCallers, leave)
+		before, after := compare(t, competingCallers, unchanged, leave)
 		gm.Expect(after.served()).To(gomega.BeNumerically(">", 0.98*before.served()))
 	})
 }
+
+// TestImpatientRequestsFirst guards against requests that miss a short target because calls of others, of the same importance and with
+// seconds to spare, are served before theirs.
+func TestImpatientRequestsFirst(t *testing.T) {
+	for _, dp := range deployments {
+		t.Run(dp.name, func(t *testing.T) {
+			gm := gomega.NewWithT(t)
+			others := func(fl *fleet) { fl.commits, fl.paced = true, true }
+			before, after := compare(t, dp.build, others, func(fl *fleet) {
+				others(fl)
+				fl.targets = true
+			})
+			gm.Expect(after.worth).To(gomega.BeNumerically(">", 0.98*before.worth))
+			if short := before.byKind["/certificate"]; short.offered > 0 {
+				gm.Expect(after.byKind["/certificate"].missed()).To(gomega.BeNumerically("<", 0.9*short.missed()))
+			}
+		})
+	}
+}
