--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -81,6 +81,7 @@
 	nestedTargets  nestedTargets
 	nestedStats    nestedStats
 	routeBytes     routeBytes
+	durations      routeDurations
 	splitter       splitter
 	throttler      *throttler.Throttler
 	identify       func(*http.Request) gypsumhoist.RequestID
