--- a/loader/check.go
+++ b/loader/check.go
@@ -30,10 +30,14 @@
 	connectionsMax = 100_000
 	headBytesMin   = 1 << 20
 	headBytesMax   = 1 << 40
+	memoryBytesMin = 64 << 20
 	headerLinesMin = 100
 	headerLinesMax = 1 << 20
 	concurrentMax  = 100_000
-	durationMax    = time.Hour
+
+	receiveBufferMin = 4 << 10
+	receiveBufferMax = 64 << 20
+	durationMax      = time.Hour
 )
 
 const nameAllowed = "1 to 63 letters, digits, '-', '_' or '.', beginning with a letter or digit"
@@ -170,6 +174,12 @@
 	ck.number("bounds.head_bytes", bd.HeadBytes, headBytesMin, headBytesMax)
 	ck.number("bounds.header_lines", int64(bd.HeaderLines), headerLinesMin, headerLinesMax)
 	ck.number("bounds.connections_per_client", int64(bd.ConnectionsPerClient), 0, connectionsMax)
+	if bd.MemoryBytes != 0 {
+		ck.number("bounds.memory_bytes", bd.MemoryBytes, memoryBytesMin, headBytesMax)
+	}
+	if bd.ReceiveBuffer != 0 {
+		ck.number("bounds.receive_buffer", int64(bd.ReceiveBuffer), receiveBufferMin, receiveBufferMax)
+	}
 	ck.number("bounds.pipelined", int64(bd.Pipelined), 1, concurrentMax)
 	ck.number("bounds.streams", int64(bd.Streams), 1, concurrentMax)
 	ck.duration("bounds.header_time", bd.HeaderTime, time.Millisecond, durationMax)
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -154,6 +154,10 @@
 	// Pipelined limits the requests of one HTTP/1.1 connection that run concurrently, Streams those of one HTTP/2 connection.
 	Pipelined int `toml:"pipelined"`
 	Streams   int `toml:"streams"`
+	// MemoryBytes is the memory that the garbage collector aims to stay under; 0 for none.
+	MemoryBytes int64 `toml:"memory_bytes"`
+	// ReceiveBuffer is the kernel's buffer for bytes of a caller's connection that have not been read; 0 for the kernel's choice.
+	ReceiveBuffer int `toml:"receive_buffer"`
 }
 
 // Stop bounds a planned stop.
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -50,6 +50,13 @@
 		Entry("a peer port beyond loopback without TLS", `127.0.0.1:7402`, `10.0.0.1:7402`, "listen.peers", "10.0.0.1"),
 		Entry("an operator port beyond loopback without TLS", `127.0.0.1:7403`, `10.0.0.1:7403`, "listen.operator", "10.0.0.1"),
 		Entry("a negative grace", `"2s"`, `"-2s"`, "stop.grace", "-2s"),
+		Entry("too little memory for heads", `[stop]`, "[bounds]\nhead_bytes = 1000\n[stop]", "bounds.head_bytes", "1000"),
+		Entry("too few header lines", `[stop]`, "[bounds]\nheader_lines = 5\n[stop]", "bounds.header_lines", "5"),
+		Entry("negative connections per client", `[stop]`, "[bounds]\nconnections_per_client = -1\n[stop]", "bounds.connections_per_client", "-1"),
+		Entry("no pipelined request", `[stop]`, "[bounds]\npipelined = 0\n[stop]", "bounds.pipelined", "0"),
+		Entry("no stream", `[stop]`, "[bounds]\nstreams = 0\n[stop]", "bounds.streams", "0"),
+		Entry("a memory target that is too small", `[stop]`, "[bounds]\nmemory_bytes = 1\n[stop]", "bounds.memory_bytes", "1"),
+		Entry("a receive buffer that is too small", `[stop]`, "[bounds]\nreceive_buffer = 1\n[stop]", "bounds.receive_buffer", "1"),
 	)
 
 	It("reports unknown keys and syntax errors with their position", func() {
