connector: callers on HTTP/2 can't use what is reserved; a receive buffer for callers

Requests on HTTP/2 beyond the budget were charged into the part that is reserved for peers, so that a crowd on the callers' port could close peers' connections. Callers' overshoot now comes out of their own share. Peers have a quarter of the bytes reserved, enough for some 490 calls at a time; an eighth was for 240, fewer than the slots of a large upstream. The peers' port accepts 100 lines more than the callers' port, as a node adds some, and one line too many closes a connection with other calls on it. The limit of connections is 64 at least, as each port waits with one in hand.

Bytes that were received and not read count towards the process's memory: with WithReceiveBuffer the kernel keeps at most twice that size for a caller's connection.

headConn's fields that Close reads while the server serves are atomic.

--- a/connector/accountant.go
+++ b/connector/accountant.go
@@ -24,9 +24,16 @@
 // String returns the name of the port in log events and metrics.
 func (pt Port) String() string { return portNames[pt] }
 
-// Reserved parts of each limit, in 32nds. Callers can use what is not reserved; every other port can use that as well.
-// Peers have the most, as a node that refuses them is lost to its fleet.
-var reserved32nds = [portCount]int64{PortPeers: 4, PortOperators: 1, PortUpstream: 2}
+// Reserved parts of the limits, in 32nds. Callers can use what is not reserved; every other port can use that as well.
+// Peers have the most, as a node that refuses them is lost to its fleet: by default a quarter of the bytes is enough for some 500
+// calls at a time, about the slots of a large upstream. They need fewer connections, as each carries many calls.
+var (
+	reservedBytes = [portCount]int64{PortPeers: 8, PortOperators: 1, PortUpstream: 2}
+	reservedConns = [portCount]int64{PortPeers: 4, PortOperators: 1, PortUpstream: 2}
+)
+
+// minConnections is the least limit of connections: each port must be able to have one, and to wait for another.
+const minConnections = 64
 
 // What a request costs in memory, in bytes.
 const (
@@ -47,7 +54,9 @@
 // Parts of the budget of bytes.
 const (
 	pipelinedDivisor = 2 // pipelined requests run ahead of their turn only while less than 1/pipelinedDivisor of it is used
-	overshootDivisor = 8 // an HTTP/2 connection is closed when this part is used beyond it; up to there its requests are refused one by one
+	// On HTTP/2 the last 1/overshootDivisor of what callers can use, and as much beyond the budget for others, is for requests that are
+	// refused one by one. Beyond that the connection is closed.
+	overshootDivisor = 8
 )
 
 // Limits bound what the clients of a process use together, on all its ports. A value of zero or less means the default.
@@ -89,11 +98,12 @@
 // account is one limited quantity.
 type account struct {
 	limit, total int64
+	reserved     [portCount]int64 // in 32nds
 	used         [portCount]int64
 }
 
 // reserve returns what is kept for a port.
-func (at *account) reserve(pt Port) int64 { return at.limit * reserved32nds[pt] / 32 }
+func (at *account) reserve(pt Port) int64 { return at.limit * at.reserved[pt] / 32 }
 
 // room reports whether a port may use n more: all that is used and all that is reserved for others must fit.
 func (at *account) room(pt Port, n int64) bool {
@@ -134,7 +144,8 @@
 	positive(&def.Pipelined, lm.Pipelined)
 	positive(&def.Streams, lm.Streams)
 	return &Accountant{
-		limits: def, bytes: account{limit: def.HeadBytes}, conns: account{limit: int64(def.Connections)},
+		limits: def, bytes: account{limit: def.HeadBytes, reserved: reservedBytes},
+		conns:     account{limit: int64(max(def.Connections, minConnections)), reserved: reservedConns},
 		receiving: map[*charge]struct{}{}, clients: map[netip.Addr]int{}, freed: make(chan struct{}),
 	}
 }
@@ -200,11 +211,16 @@
 	return found
 }
 
-// force charges n bytes beyond the limit, up to the bound of overshootDivisor, and reports whether it did.
+// force charges n bytes beyond what tryAdd grants, up to a bound, and reports whether it did.
+// Callers never use what is reserved for others.
 func (ac *Accountant) force(pt Port, n int64) bool {
 	ac.mu.Lock()
 	defer ac.mu.Unlock()
-	if ac.bytes.total+n > ac.bytes.limit+ac.bytes.limit/overshootDivisor {
+	least := n
+	if pt != PortCallers {
+		least -= ac.bytes.limit / overshootDivisor
+	}
+	if !ac.bytes.room(pt, least) {
 		return false
 	}
 	ac.bytes.add(pt, n)
@@ -259,7 +275,11 @@
 func (ac *Accountant) tryAdd(pt Port, n int64) bool {
 	ac.mu.Lock()
 	defer ac.mu.Unlock()
-	if !ac.bytes.room(pt, n) {
+	least := n
+	if pt == PortCallers {
+		least += ac.bytes.limit / overshootDivisor
+	}
+	if !ac.bytes.room(pt, least) {
 		return false
 	}
 	ac.bytes.add(pt, n)
--- a/connector/headconn.go
+++ b/connector/headconn.go
@@ -55,12 +55,14 @@
 	bytes      int64
 	reads      int   // since the last request
 	lastCost   int64 // of the bytes of the last read, which net/http may have buffered
-	frames     *headFrames
+
+	// frames is set on HTTP/2.
+	frames atomic.Pointer[headFrames]
 
 	// refused says that the head in progress is beyond a limit; rejected, that its request must not run.
 	refused  bool
 	rejected bool
-	answered bool
+	answered atomic.Bool
 	evicted  atomic.Bool
 }
 
@@ -83,7 +85,7 @@
 	}
 	n, err := hc.Conn.Read(buf)
 	if hc.evicted.Load() {
-		hc.refused = hc.frames == nil && hc.receiving
+		hc.refused = hc.receiving
 		return 0, errHeadRefused
 	}
 	if n > 0 {
@@ -96,8 +98,8 @@
 
 // received counts bytes that net/http is about to get.
 func (hc *headConn) received(part []byte) error {
-	if hc.frames != nil {
-		return hc.frames.received(part)
+	if frames := hc.frames.Load(); frames != nil {
+		return frames.received(part)
 	}
 	if hc.prefaceLen >= 0 {
 		return hc.receivedFirst(part)
@@ -116,8 +118,9 @@
 	if hc.prefaceLen += n; hc.prefaceLen < len(h2Preface) {
 		return nil
 	}
-	hc.frames = newHeadFrames(hc)
-	return hc.frames.received(part[n:])
+	frames := newHeadFrames(hc)
+	hc.frames.Store(frames)
+	return frames.received(part[n:])
 }
 
 // receivedHead charges bytes of a head of HTTP/1.
@@ -131,7 +134,7 @@
 	hc.lines += lines
 	hc.bytes += int64(len(part))
 	switch {
-	case hc.lines > hc.server.config.accountant.limits.HeaderLines:
+	case hc.lines > hc.server.headerLines():
 		hc.server.refuse(causeLines)
 	case !hc.server.config.accountant.receive(&hc.charge, headCost(receivingFactor*int64(len(part)), lines)):
 		hc.server.refuse(causeBytes)
@@ -147,7 +150,7 @@
 
 // setState follows net/http's state of the connection.
 func (hc *headConn) setState(state http.ConnState) {
-	if hc.frames != nil {
+	if hc.frames.Load() != nil {
 		return
 	}
 	switch state {
@@ -171,8 +174,9 @@
 		if !accountant.receive(&hc.charge, hc.lastCost) {
 			hc.server.refuse(causeBytes)
 			hc.rejected = true
+			return
 		}
-		accountant.received(&hc.charge, hc.lastCost)
+		hc.rejected = !accountant.received(&hc.charge, hc.lastCost)
 		return
 	}
 	if !accountant.received(&hc.charge, headCost(hc.bytes, hc.lines)) {
@@ -182,15 +186,14 @@
 
 // Write implements net.Conn.
 func (hc *headConn) Write(buf []byte) (int, error) {
-	if hc.frames != nil {
-		hc.frames.sent(buf)
+	if frames := hc.frames.Load(); frames != nil {
+		frames.sent(buf)
 		return hc.Conn.Write(buf)
 	}
 	if !hc.refused {
 		return hc.Conn.Write(buf)
 	}
-	if !hc.answered {
-		hc.answered = true
+	if !hc.answered.Swap(true) {
 		if _, err := io.WriteString(hc.Conn, refusedAnswer); err != nil {
 			return 0, err
 		}
@@ -209,10 +212,10 @@
 // Close implements net.Conn. A client that was refused is given time to read the response.
 func (hc *headConn) Close() error {
 	hc.server.config.accountant.close(&hc.charge)
-	if hc.frames != nil {
-		hc.frames.close()
+	if frames := hc.frames.Load(); frames != nil {
+		frames.close()
 	}
-	if hc.answered && hc.CloseWrite() == nil {
+	if hc.answered.Load() && hc.CloseWrite() == nil {
 		time.AfterFunc(pipeLinger, func() { _ = hc.Conn.Close() })
 		return nil
 	}
--- a/connector/headframes.go
+++ b/connector/headframes.go
@@ -150,7 +150,7 @@
 			return hf.fail(causeFrames)
 		}
 		hf.skip, hf.padding, hf.padded = 0, 0, false
-		if hf.block.frames++; hf.block.frames > hf.conn.server.config.accountant.limits.HeaderLines {
+		if hf.block.frames++; hf.block.frames > hf.conn.server.headerLines() {
 			return hf.fail(causeFrames)
 		}
 	case http2.FrameRSTStream:
@@ -179,7 +179,7 @@
 	if _, err := hf.decoder.Write(part); err != nil {
 		return hf.fail(causeFrames)
 	}
-	if hf.block.lines > hf.conn.server.config.accountant.limits.HeaderLines {
+	if hf.block.lines > hf.conn.server.headerLines() {
 		return hf.fail(causeLines)
 	}
 	return hf.charge(headCost(hf.block.size-size, hf.block.lines-lines))
--- a/connector/heads_test.go
+++ b/connector/heads_test.go
@@ -205,7 +205,7 @@
 
 func TestReservedPartsAreKeptForPeersAndOperators(t *testing.T) {
 	// Guards against callers that use up what peers and health checks need.
-	withHeads(t, connector.Limits{HeadBytes: 1 << 20, Connections: 64}, connector.PortCallers, ok, func(hs *headServer) {
+	withHeads(t, connector.Limits{HeadBytes: 1 << 20, Connections: 64}, connector.PortCallers, okAfterSecond, func(hs *headServer) {
 		peers := connector.NewServer(http.HandlerFunc(ok), connector.WithAccountant(hs.accountant, connector.PortPeers))
 		addr := netip.AddrPortFrom(serverAddr, 81)
 		ln, err := hs.network.Host(serverAddr, "b").Listen(addr)
@@ -218,6 +218,16 @@
 			defer cn.Close()
 			go func() { _, _ = io.WriteString(cn, strings.TrimSuffix(shortLineHead(2<<10), "\r\n")) }()
 		}
+		for range 10 {
+			hc, cn := hs.dialH2()
+			defer cn.Close()
+			go func() { _, _ = io.Copy(io.Discard, cn) }()
+			for ix := range 100 {
+				if hc.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(2*ix + 1), BlockFragment: hc.block(20), EndHeaders: true}) != nil {
+					break
+				}
+			}
+		}
 		time.Sleep(time.Millisecond)
 		pool := connector.NewPeerPool(connector.WithNetwork(hs.network.Host(clientAddr, "a")))
 		defer pool.Close()
@@ -410,3 +420,30 @@
 		wg.Wait()
 	})
 }
+
+func TestReceiveBufferBoundsUnreadBytes(t *testing.T) {
+	// Guards against bytes of a client that pile up in the kernel while its request is not read.
+	stop := make(chan struct{})
+	ln, err := (&connector.TCP{}).Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sv := connector.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-stop }), connector.WithReceiveBuffer(16<<10))
+	go func() { _ = sv.Serve(ln) }()
+	cn, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The bound of 128 KiB is twice both buffers, as the kernel takes twice what it is told, and what net/http reads ahead.
+	const ownBuffer = 16 << 10
+	_ = cn.(*net.TCPConn).SetWriteBuffer(ownBuffer)
+	_, _ = io.WriteString(cn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10000000\r\n\r\n")
+	_ = cn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	sent, err := cn.Write(make([]byte, 8<<20))
+	if err == nil || sent > 128<<10 {
+		t.Errorf("%d bytes were taken, error %v", sent, err)
+	}
+	close(stop)
+	_ = cn.Close()
+	_ = sv.Close()
+}
--- a/connector/options.go
+++ b/connector/options.go
@@ -49,6 +49,7 @@
 	pipelining        bool
 	accountant        *Accountant
 	port              Port
+	receiveBuffer     int
 	pathMonitor       PathMonitor
 	responseCheck     func(*http.Request, *http.Response) error
 }
@@ -182,3 +183,7 @@
 func WithAccountant(ac *Accountant, pt Port) Option {
 	return func(cf *config) { cf.accountant, cf.port = ac, pt }
 }
+
+// WithReceiveBuffer sets the size in bytes of the kernel's buffer for received bytes of an accepted connection that were not read;
+// the kernel takes up to twice as much. Without it the kernel chooses, and gives a busy connection several megabytes.
+func WithReceiveBuffer(n int) Option { return func(cf *config) { positive(&cf.receiveBuffer, n) } }
--- a/connector/server.go
+++ b/connector/server.go
@@ -61,6 +61,17 @@
 	return min(sv.config.maxStreams, sv.config.accountant.limits.Streams)
 }
 
+// peerHeaderLines is how many lines the head of a call between nodes may have more than that of the caller's request.
+const peerHeaderLines = 100
+
+// headerLines returns the limit of lines of one head.
+func (sv *Server) headerLines() int {
+	if sv.config.port == PortPeers {
+		return sv.config.accountant.limits.HeaderLines + peerHeaderLines
+	}
+	return sv.config.accountant.limits.HeaderLines
+}
+
 // notifyState tells a connection that the server has read a head, or has sent a response and waits for the next request.
 func notifyState(cn net.Conn, state http.ConnState) {
 	switch cn := cn.(type) {
--- a/connector/stall.go
+++ b/connector/stall.go
@@ -20,9 +20,9 @@
 func (gu *guard) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
 	if hc := headConnOf(req); hc != nil {
 		refused := hc.rejected
-		if hc.frames != nil {
-			refused = hc.frames.handlerBegins()
-			defer hc.frames.handlerEnds()
+		if frames := hc.frames.Load(); frames != nil {
+			refused = frames.handlerBegins()
+			defer frames.handlerEnds()
 		}
 		if refused {
 			refuseRequest(wr, req)
