server: the longest legal head passes between nodes; memory target

HTTP/2 counts 32 bytes more for each line, so that the peers' port refused with 431 heads that the callers' port had accepted: 2,380 lines in 16,384 bytes failed in TestLongestLegalHeadPassesBetweenNodes before. Its limit is larger now by 32 bytes for each line allowed. bounds.memory_bytes sets the memory that the garbage collector aims to stay under, and bounds.receive_buffer applies to callers.

--- a/server/server.go
+++ b/server/server.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,6 +117,9 @@
 	return sv
 }
 
+// http2LineOverhead is what HTTP/2 counts for a line in addition to its text (RFC 9113, 6.5.2), in bytes.
+const http2LineOverhead = 32
+
 // maxDescriptors is the highest limit of descriptors that matters: bounds.connections is lower.
 const maxDescriptors = 1 << 20
 
@@ -142,11 +146,19 @@
 // PortOptions returns the options of a further port of the process that shares its limits.
 func (sv *Server) PortOptions(pt connector.Port) []connector.Option {
 	bd := sv.settings.Bounds
-	return []connector.Option{
+	opts := []connector.Option{
 		connector.WithLogger(sv.logger), connector.WithMetrics(sv.metrics), connector.WithAccountant(sv.clients, pt),
 		connector.WithMaxConns(bd.Connections), connector.WithMaxHeaderBytes(bd.HeaderBytes),
 		connector.WithReadHeaderTimeout(time.Duration(bd.HeaderTime)), connector.WithIdleTimeout(time.Duration(bd.IdleTime)),
 	}
+	switch pt {
+	case connector.PortCallers:
+		opts = append(opts, connector.WithReceiveBuffer(bd.ReceiveBuffer))
+	case connector.PortPeers:
+		// HTTP/2 counts more for each line than a caller sent.
+		opts = append(opts, connector.WithMaxHeaderBytes(bd.HeaderBytes+http2LineOverhead*bd.HeaderLines))
+	}
+	return opts
 }
 
 // Start builds the components, opens the ports and joins the fleet.
@@ -159,6 +171,9 @@
 		}
 		sv.network = nw
 	}
+	if most := sv.settings.Bounds.MemoryBytes; most > 0 {
+		debug.SetMemoryLimit(most)
+	}
 	sv.boot = gossiper.Boot(time.Now().UnixNano())
 	sv.build()
 	if err := sv.open(); err != nil {
