--- a/registrar/csv_test.go
+++ b/registrar/csv_test.go
@@ -122,6 +122,7 @@
 	f.Add(registrar.EncodeCommand("", registrar.SetPlacement{Placement: registrar.Placement{
 		Domain: "d", Generation: 1, Members: []registrar.ShardMember{{Instance: "i", Peer: peerAddr(1)}},
 	}}))
+	f.Add(registrar.EncodeCommand("", evacuate("d0", 0)))
 	f.Fuzz(func(t *testing.T, cmd []byte) {
 		st := registrar.NewState()
 		answer := st.Apply(cmd, proposed)
