--- a/server/server.go
+++ b/server/server.go
@@ -285,6 +285,10 @@
 
 // listen opens one port.
 func (sv *Server) listen(name string, addr netip.AddrPort, handler http.Handler, opts ...connector.Option) error {
+	// Checked again in addPort, as a stop may begin meanwhile; a port that is opened and closed again would take connections and reset them.
+	if sv.stops() {
+		return errStopping
+	}
 	ln, err := sv.network.Listen(addr)
 	if err != nil {
 		return TagPort.Errorf("%s: %w", name, err)
@@ -329,6 +333,13 @@
 // Dead returns a channel that is closed when the process has stopped, including after a failure.
 func (sv *Server) Dead() <-chan struct{} { return sv.tmb.Dead() }
 
+// stops reports whether a planned stop has begun.
+func (sv *Server) stops() bool {
+	sv.portsMu.Lock()
+	defer sv.portsMu.Unlock()
+	return sv.stopping
+}
+
 // Revision returns the revision of the table in force in this process.
 func (sv *Server) Revision() uint64 { return sv.distributor.Holder().Current().Revision() }
 
