--- a/router/predict_test.go
+++ b/router/predict_test.go
@@ -173,6 +173,36 @@
 	})
 })
 
+var _ = Describe("a new upstream of another failure domain", func() {
+	// Guards against nodes that know nothing of it when their own domain needs it.
+	It("is sent a first request by each node within 2 s, but no large one", func() {
+		for _, bytes := range []int{1 << 10, 1 << 20} {
+			pl := unevenPlan(10)
+			pl.domains, pl.perDomain = []gypsumhoist.FailureDomain{"a", "b"}, map[gypsumhoist.FailureDomain]int{"a": 4, "b": 1}
+			pl.spillover, pl.delay = router.DefaultSpillover, time.Millisecond
+			st := newSite(pl)
+			added := &siteUpstream{site: st, view: upstreams("b", 2, 20)[1], speed: 1, pace: 1, random: rand.New(rand.NewPCG(1, 1))}
+			st.load("a", func(time.Duration) float64 { return 0.5 * st.capacity("a") }, 6*time.Second, siteRequest{target: time.Second, bytes: bytes})
+			st.runUntil(3 * time.Second)
+			st.upstreams = append(st.upstreams, added)
+			st.byName[added.view.Instance] = added
+			var all []router.Upstream
+			for _, su := range st.upstreams {
+				all = append(all, su.view)
+			}
+			for _, gr := range st.groups["a"] {
+				gr.SetUpstreams(st.now, all)
+			}
+			st.runUntil(6 * time.Second)
+			if bytes == 1<<10 {
+				Expect(added.served).To(Equal(10))
+			} else {
+				Expect(added.served).To(BeZero())
+			}
+		}
+	})
+})
+
 var _ = Describe("a service", func() {
 	It("counts as one that reports its pace for 10 s after a report", func() {
 		synctest.Test(suiteT, func(t *testing.T) {
