--- a/router/group.go
+++ b/router/group.go
@@ -45,7 +45,7 @@
 	calls, awayCalls decayed // picks by reports, and those of them that left the domain
 	// homeEnded and homeRefused count the attempts at home that were answered or refused, and the refused ones.
 	homeEnded, homeRefused decayed
-	spillChange            *spillChange // not logged yet
+	spillChanges           []spillChange // not logged yet
 }
 
 // tier is a set of upstreams at about the same distance.
--- a/router/predict.go
+++ b/router/predict.go
@@ -129,8 +129,13 @@
 // beginPick decides whether the pick that begins uses load reports, and updates what they need.
 func (gr *Group) beginPick(now time.Duration) {
 	ls := &gr.loads
-	ls.inUse = now < ls.until
-	if !ls.inUse {
+	inUse := now < ls.until
+	if !inUse && ls.inUse {
+		ls.inUse = false
+		gr.updateSpilling(now)
+	}
+	ls.inUse = inUse
+	if !inUse {
 		return
 	}
 	ls.picks++
--- a/router/predict_test.go
+++ b/router/predict_test.go
@@ -225,4 +225,13 @@
 			g.Expect(rt.ReportsPace("orders")).To(BeFalse())
 		})
 	})
+	It("never counts as one if load reports are switched off", func() {
+		rt := router.New("a", router.WithLoadReports(false))
+		rt.SetUpstreams("orders", upstreams("a", 2, 10))
+		pk, err := rt.Pick("orders", true)
+		Expect(err).NotTo(HaveOccurred())
+		pk.Report(router.Report{Load: router.LoadReport{LoadReport: gypsumhoist.LoadReport{Slots: 10, PacePercent: 100}}})
+		pk.Done(router.Outcome{})
+		Expect(rt.ReportsPace("orders")).To(BeFalse())
+	})
 })
--- a/router/router.go
+++ b/router/router.go
@@ -223,7 +223,7 @@
 	}
 	nt := sv.group.notes(ch.member)
 	sv.mu.Unlock()
-	if nt.change != nil || nt.gauge != nil {
+	if nt.changes != nil || nt.gauge != nil {
 		nt.apply(rt, name, sv)
 	}
 	if ch.member == nil {
--- a/router/spillover.go
+++ b/router/spillover.go
@@ -306,29 +306,30 @@
 	share  float64
 }
 
-// updateSpilling finds out to which domains traffic is sent, and keeps one change to be logged.
+// updateSpilling finds out to which domains traffic is sent. Once reports are no longer used, it is not decided here, so that all end.
 func (gr *Group) updateSpilling(now time.Duration) {
 	for _, aw := range gr.aways {
 		share := gr.shareOf(now, aw)
-		spilling := share >= spillBegins && aw.calls.now(now) >= spillCallsLeast || aw.spilling && share >= spillEnds
-		if spilling == aw.spilling || aw.changedAt > 0 && now-aw.changedAt < spillEventsApart || gr.spillChange != nil {
+		spilling := gr.loads.inUse &&
+			(share >= spillBegins && aw.calls.now(now) >= spillCallsLeast || aw.spilling && share >= spillEnds)
+		if spilling == aw.spilling || gr.loads.inUse && aw.changedAt > 0 && now-aw.changedAt < spillEventsApart {
 			continue
 		}
 		aw.spilling, aw.changedAt = spilling, now
-		gr.spillChange = &spillChange{domain: aw.domain, begun: spilling, share: share}
+		gr.spillChanges = append(gr.spillChanges, spillChange{domain: aw.domain, begun: spilling, share: share})
 	}
 }
 
 // pickNotes is what a pick leaves to be done outside the lock.
 type pickNotes struct {
-	change *spillChange
-	gauge  *away // a destination that has no gauge yet
+	changes []spillChange
+	gauge   *away // a destination that has no gauge yet
 }
 
 // notes returns what the pick that ends leaves to be done.
 func (gr *Group) notes(mb *member) pickNotes {
-	nt := pickNotes{change: gr.spillChange}
-	gr.spillChange = nil
+	nt := pickNotes{changes: gr.spillChanges}
+	gr.spillChanges = nil
 	if gr.loads.inUse && mb != nil && mb.away != nil && !mb.away.gauged {
 		mb.away.gauged = true
 		nt.gauge = mb.away
@@ -345,12 +346,12 @@
 			return sv.group.shareOf(rt.now(), aw)
 		})
 	}
-	switch ch := nt.change; {
-	case ch == nil:
-	case ch.begun:
-		rt.logger.Log(eventSpilloverBegun, "service", name, "failure_domain", ch.domain, "share", ch.share)
-	default:
-		rt.logger.Log(eventSpilloverEnded, "service", name, "failure_domain", ch.domain)
+	for _, ch := range nt.changes {
+		if ch.begun {
+			rt.logger.Log(eventSpilloverBegun, "service", name, "failure_domain", ch.domain, "share", ch.share)
+		} else {
+			rt.logger.Log(eventSpilloverEnded, "service", name, "failure_domain", ch.domain)
+		}
 	}
 }
 
--- a/router/spillover_test.go
+++ b/router/spillover_test.go
@@ -347,12 +347,18 @@
 			set := metrics.NewSet()
 			rt := router.New("a", router.WithMetrics(set), router.WithLogger(logger.New(&logs)), router.WithRandom(rand.New(rand.NewPCG(1, 1))))
 			rt.SetUpstreams("orders", append(upstreams("a", 2, 2), upstreams("b", 2, 20)...))
+			silent := false
 			send := func(every, span time.Duration) {
 				for began := time.Now(); time.Since(began) < span; time.Sleep(every) {
 					pk, err := rt.Pick("orders", false)
 					g.Expect(err).NotTo(HaveOccurred())
+					quiet := silent
 					go func() {
 						time.Sleep(100 * time.Millisecond)
+						if quiet {
+							pk.Done(router.Outcome{Latency: 100 * time.Millisecond})
+							return
+						}
 						pk.Report(router.Report{Load: router.LoadReport{
 							LoadReport:  gypsumhoist.LoadReport{Slots: pk.Upstream.Slots, PacePercent: 100},
 							ServiceTime: 100 * time.Millisecond,
@@ -372,6 +378,12 @@
 			send(100*time.Millisecond, 20*time.Second)
 			g.Expect(strings.Count(logs.String(), "spillover_ended")).To(Equal(1), logs.String())
 			g.Expect(logs.String()).To(ContainSubstring("failure_domain=b"))
+			send(10*time.Millisecond, 5*time.Second)
+			g.Expect(strings.Count(logs.String(), "spillover_begun")).To(Equal(2), logs.String())
+			silent = true
+			send(10*time.Millisecond, 11*time.Second)
+			time.Sleep(time.Second)
+			g.Expect(strings.Count(logs.String(), "spillover_ended")).To(Equal(2), "no upstream has reported its pace for 10 s: %s", logs.String())
 		})
 	})
 })
