--- a/router/group.go
+++ b/router/group.go
@@ -40,12 +40,13 @@
 	latency          time.Duration // moving average over answers
 	initialized      bool          // SetUpstreams has been called
 	loads            loads
+	domainUses       map[gypsumhoist.FailureDomain]*domainUse
 	spillover        Spillover
 	aways            []*away // all other domains that the service had upstreams in
 	calls, awayCalls decayed // picks by reports, and those of them that left the domain
 	// homeEnded and homeRefused count the attempts at home that were answered or refused, and the refused ones.
 	homeEnded, homeRefused decayed
-	spillChange            *spillChange // not logged yet
+	spillChanges           []spillChange // not logged yet
 }
 
 // tier is a set of upstreams at about the same distance.
@@ -65,7 +66,8 @@
 		members: map[gypsumhoist.Instance]*member{},
 		beliefs: map[gypsumhoist.Instance]belief{},
 
-		spillover: DefaultSpillover,
+		domainUses: map[gypsumhoist.FailureDomain]*domainUse{},
+		spillover:  DefaultSpillover,
 	}
 }
 
