--- a/connector/broken_response_test.go
+++ b/connector/broken_response_test.go
@@ -25,8 +25,9 @@
 	client *emulator.Host
 	port   net.Listener
 	conns  atomic.Int64
-	// response is sent to each request; further to the first connection's first request only, a moment later.
+	// response is sent to each request; further only after the first response of the first connection.
 	response, further string
+	furtherAfter      time.Duration
 	// closes ends each connection after its response.
 	closes bool
 	// reset ends each connection after its response while the rest of the request is unread, which resets it.
@@ -80,6 +81,7 @@
 			return
 		}
 		if first && ru.further != "" {
+			time.Sleep(ru.furtherAfter)
 			_, _ = io.WriteString(cn, ru.further)
 			first = false
 		}
--- a/connector/responseconn.go
+++ b/connector/responseconn.go
@@ -104,7 +104,7 @@
 	switch {
 	case rc.failed:
 		return errRequestNotSent
-	case !rc.sent || rc.writes > 0:
+	case rc.ended:
 		return net.ErrClosed
 	default:
 		return nil
@@ -135,7 +135,7 @@
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	rc.writes--
-	rc.failed = rc.failed || err != nil
+	rc.failed = rc.failed || err != nil && !rc.ended
 	rc.changed.Broadcast()
 	return n, err
 }
