--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -18,12 +18,10 @@
 
 // call is one request that came to this node from a caller or from the node's own upstream.
 type call struct {
-	// fromHTTP10 is set if the end of the connection may mark the end of the answer.
-	fromHTTP10 bool
-	id         gypsumhoist.RequestID
-	workspace  gypsumhoist.Workspace
-	keyID      registrar.KeyID
-	row        *registrar.Row
+	id        gypsumhoist.RequestID
+	workspace gypsumhoist.Workspace
+	keyID     registrar.KeyID
+	row       *registrar.Row
 	// workspaceRow limits all routes of the workspace together; nil if nothing does.
 	workspaceRow *registrar.Row
 	// service is the destination of the request; a row with a split chooses it for each request.
@@ -44,6 +42,8 @@
 	record            *explainer.Record
 	// parent is the call in flight that a nested call belongs to; nil for others.
 	parent *authenticator.Call[*retrier.Budget]
+	// fromHTTP10 is set if the end of the connection may mark the end of the answer.
+	fromHTTP10 bool
 }
 
 func newRequestID() gypsumhoist.RequestID {
