connector: tests that a mutated accountant fails

Of 13 mutations 6 survived: no eviction, resets that release at once, running and queued resets, trailers as streams, buffered heads not charged. One survives now: an evicted head that was complete by then and buffered, which no test brings about.

--- a/connector/heads_test.go
+++ b/connector/heads_test.go
@@ -181,22 +181,22 @@
 	for name, opts := range map[string][]connector.Option{"plain": nil, "pipelining": {connector.WithPipelining()}} {
 		t.Run(name, func(t *testing.T) {
 			withHeads(t, connector.Limits{HeadBytes: 1 << 20}, connector.PortCallers, ok, func(hs *headServer) {
-				for range 20 {
+				// Callers can use 672 KiB. 16 heads of 200 lines leave less than a head of 100 lines needs.
+				const begin = "GET /a HTTP/1.1\r\nHost: x\r\n"
+				for range 16 {
 					cn := hs.dial()
 					defer cn.Close()
-					_, _ = io.WriteString(cn, strings.TrimSuffix(shortLineHead(2<<10), "\r\n"))
+					_, _ = io.WriteString(cn, begin+strings.Repeat("a:\r\n", 200))
 				}
 				time.Sleep(time.Millisecond)
-				if got := hs.accountant.HeadBytes(); got < 512<<10 || got > 1<<20 {
-					t.Errorf("%d bytes are charged of a limit of 1 MiB", got)
+				if got := hs.accountant.HeadBytes(); got < 16*200*200 || got > 672<<10 {
+					t.Errorf("%d bytes are charged", got)
 				}
-				for range 20 {
-					cn := hs.dial()
-					_, _ = io.WriteString(cn, get("/a"))
-					if got := status(t, cn); got != http.StatusOK {
-						t.Errorf("status %d", got)
-					}
-					_ = cn.Close()
+				cn := hs.dial()
+				defer cn.Close()
+				_, _ = io.WriteString(cn, begin+strings.Repeat("a:\r\n", 100)+"\r\n")
+				if got := status(t, cn); got != http.StatusOK {
+					t.Errorf("status %d", got)
 				}
 			}, opts...)
 		})
@@ -334,10 +334,15 @@
 		if got := hs.accountant.HeadBytes(); got != 2*first {
 			t.Errorf("%d bytes are charged for two equal heads, %d for one", got, first)
 		}
+		before := hs.accountant.HeadBytes()
 		_ = hc.framer.WriteData(3, false, []byte("body"))
 		hc.buf.Reset()
 		_ = hc.encoder.WriteField(hpack.HeaderField{Name: "a-trailer", Value: "v"})
 		_ = hc.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 3, BlockFragment: hc.buf.Bytes(), EndStream: true, EndHeaders: true})
+		time.Sleep(time.Millisecond)
+		if got := hs.accountant.HeadBytes() - before; got < 200 || got > 1000 {
+			t.Errorf("%d bytes are charged for a trailer", got)
+		}
 		_ = hc.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 5, BlockFragment: hc.block(3), EndStream: true, EndHeaders: true})
 		_ = hc.framer.WriteRSTStream(5, http2.ErrCodeCancel)
 		time.Sleep(5 * time.Second)
@@ -347,6 +352,49 @@
 	})
 }
 
+func TestResetStreamsCountUntilTheirHandlersHaveEnded(t *testing.T) {
+	// Guards against a client that resets its streams so that they are no longer counted while their handlers run or wait to run.
+	const streams = 2
+	handler := func(http.ResponseWriter, *http.Request) { time.Sleep(5 * time.Second) }
+	for name, resets := range map[string]int{"running": streams - 1, "waiting": streams + 3} {
+		t.Run(name, func(t *testing.T) {
+			withHeads(t, connector.Limits{Streams: streams}, connector.PortCallers, handler, func(hs *headServer) {
+				hc, cn := hs.dialH2()
+				defer cn.Close()
+				go func() { _, _ = io.Copy(io.Discard, cn) }()
+				for ix := range resets {
+					id := uint32(2*ix + 1)
+					_ = hc.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: hc.block(3), EndStream: true, EndHeaders: true})
+					time.Sleep(time.Millisecond)
+					_ = hc.framer.WriteRSTStream(id, http2.ErrCodeCancel)
+				}
+				time.Sleep(3 * time.Second)
+				if got := hs.accountant.HeadBytes(); got < int64(resets)*(20<<10) {
+					t.Errorf("%d bytes are charged for %d requests", got, resets)
+				}
+				time.Sleep(20 * time.Second)
+				if got := hs.accountant.HeadBytes(); got != 0 {
+					t.Errorf("%d bytes are charged after the handlers have ended", got)
+				}
+			})
+		})
+	}
+}
+
+func TestHeadBufferedWithTheRequestBeforeIsCharged(t *testing.T) {
+	// Guards against pipelined heads that net/http has read ahead and that are never counted.
+	withHeads(t, connector.DefaultLimits, connector.PortUpstream, okAfterSecond, func(hs *headServer) {
+		cn := hs.dial()
+		defer cn.Close()
+		go func() { _, _ = io.Copy(io.Discard, cn) }()
+		_, _ = io.WriteString(cn, get("/a")+shortLineHead(3500))
+		time.Sleep(1500 * time.Millisecond)
+		if got := hs.accountant.HeadBytes(); got < 800*200 {
+			t.Errorf("%d bytes are charged for a head of 800 lines", got)
+		}
+	})
+}
+
 func TestHTTP2RequestsBeyondTheBudgetAreRefusedOneByOne(t *testing.T) {
 	// Guards against a refusal that closes a connection with other requests on it, or that is not true.
 	var mu sync.Mutex
