admitter: test: trials with free slots on an upstream whose host slows it from time to time

Such an upstream could be taken for one that does more work with some slots free, if the slow interval falls into the first half of a trial.

--- a/admitter/knee_test.go
+++ b/admitter/knee_test.go
@@ -17,6 +17,8 @@
 	factor float64 // on the work of a request that starts with 95% of the slots in use
 	tail   float64 // on the work of 3 in 100 requests
 	paced  bool
+	// pauses is the share of the intervals of about 600 ms in which work takes 2.5 times as long.
+	pauses float64
 }
 
 // run returns how many requests were answered, and the limits that were in force.
@@ -26,6 +28,7 @@
 	limits = map[int]time.Duration{}
 	running, began := events{}, map[admitter.ID]time.Duration{}
 	now := time.Duration(0)
+	intervalEnd, paused := time.Duration(0), false
 	var start func(id admitter.ID)
 	start = func(id admitter.ID) {
 		work := (0.5 + random.Float64()) * float64(50*time.Millisecond)
@@ -35,6 +38,13 @@
 		if float64(core.Load(now).InFlight) >= 0.95*float64(bu.slots) {
 			work *= bu.factor
 		}
+		for bu.pauses > 0 && intervalEnd < now {
+			intervalEnd += time.Duration((0.5 + random.Float64()) * float64(600*time.Millisecond))
+			paused = random.Float64() < bu.pauses
+		}
+		if paused {
+			work *= 2.5
+		}
 		began[id] = now
 		heap.Push(&running, event{at: now + time.Duration(work), do: func() {
 			answered++
@@ -94,6 +104,18 @@
 		}
 	})
 
+	It("is not taken for one that does more work with some slots free if its host slows it from time to time", func() {
+		const seeds = 10
+		held := 0.0
+		for seed := range uint64(seeds) {
+			_, limits := busyUpstream{slots: slots, factor: 1, tail: 7, paced: true, pauses: 0.15}.run(seed, 3*span)
+			held += share(limits, 37) / seeds / 3
+			GinkgoWriter.Printf("37 slots for %.3f of the time\n", share(limits, 37)/3)
+		}
+		GinkgoWriter.Printf("37 slots for %.3f of the time\n", held)
+		Expect(held).To(BeNumerically("<", 0.1))
+	})
+
 	It("uses all slots while nothing says that it reports its pace", func() {
 		_, limits := busyUpstream{slots: slots, factor: 1.3, tail: 7}.run(1, span)
 		Expect(limits).To(HaveLen(1))
