--- a/admitter/core.go
+++ b/admitter/core.go
@@ -87,6 +87,8 @@
 	sweptAt  time.Duration
 	notices  []Notice
 	refusals refusalCount
+	// committed and urgent count the calls that arrived and go before others of their importance.
+	committed, urgent uint64
 }
 
 // refusalCount counts refusals. Those for overload include the joint refusals and the requests evicted from the queue.
@@ -121,7 +123,13 @@
 	if rq.Paced {
 		co.limit.knee.enable(now)
 	}
+	if rq.Committed {
+		co.committed++
+	}
 	rq.urgent = rq.Target > now+co.times.low(rq.Route)
+	if rq.urgent {
+		co.urgent++
+	}
 	free := co.queue.len() == 0 && co.mayStart(now)
 	if rq.Siblings && co.refusedJointly(now, rq, free) {
 		co.cutOff.refused(now, rk)
