--- a/admitter/knee.go
+++ b/admitter/knee.go
@@ -15,7 +15,8 @@
 	kneeHold           = 30 * time.Second       // time for which a limit that was kept holds before all slots are tried again
 	kneeMinCooldown    = 4 * time.Second        // pause after a trial that brought no gain
 	kneeMaxCooldown    = 64 * time.Second       // the pause doubles up to this
-	kneeSettleShortest = 100 * time.Millisecond // requests that were admitted before a trial still run for as long at least
+	kneeSettleShortest = 100 * time.Millisecond // requests that were admitted with another limit still run for as long at least
+	kneeSettleTimes    = 2                      // or as many median latencies
 	kneeRoutesMax      = 16                     // routes whose latencies are compared
 	pacedFor           = 10 * time.Second       // time for which a call that says that the upstream reports its pace enables trials
 )
@@ -27,20 +28,20 @@
 type knee struct {
 	phase         kneePhase
 	enabledUntil  time.Duration
+	from          time.Duration // when measuring begins
 	until         time.Duration // when the phase ends
 	cooldown      time.Duration // pause after the next trial that brings no gain
-	samples       int
-	full, reduced map[string]*logLatency // by route
+	gained        bool          // the trial before brought a gain
+	full, reduced routeLatencies
 }
 
 type kneePhase uint8
 
 const (
-	kneeIdle     kneePhase = iota
-	kneeFull               // latencies are measured with all slots
-	kneeSettling           // requests that were admitted with all slots still run
-	kneeReduced            // latencies are measured with some slots free
-	kneeHeld               // some slots stay free
+	kneeIdle    kneePhase = iota
+	kneeFull              // latencies are measured with all slots
+	kneeReduced           // latencies are measured with some slots free
+	kneeHeld              // some slots stay free
 )
 
 // logLatency sums up logarithms of latencies in seconds, as single ones that take many times as long would dominate a mean.
@@ -63,7 +64,7 @@
 
 // limit returns how many of a number of slots may be in use.
 func (kn *knee) limit(slots int) int {
-	if kn.phase < kneeSettling {
+	if kn.phase < kneeReduced {
 		return slots
 	}
 	return reducedSlots(slots)
@@ -79,73 +80,106 @@
 	if kn.phase == kneeIdle && now >= kn.enabledUntil || slots < kneeSlotsMin {
 		return
 	}
+	allBusy := float64(running) >= kneeBusyShare*float64(slots)
 	switch kn.phase {
 	case kneeIdle:
-		if now >= kn.until && float64(running) >= kneeBusyShare*float64(slots) {
-			kn.begin(kneeFull, now+kneePatience)
-			kn.full, kn.reduced = map[string]*logLatency{}, map[string]*logLatency{}
+		if now >= kn.until && allBusy {
+			kn.begin(kneeFull, now, 0)
 		}
 	case kneeFull:
-		if float64(running) >= kneeBusyShare*float64(slots) {
-			kn.add(kn.full, route, took)
-		}
-		switch {
-		case kn.samples >= kneeSamples:
-			kn.begin(kneeSettling, now+max(kneeSettleShortest, 2*usual))
-		case now >= kn.until:
-			kn.begin(kneeIdle, now)
-		}
-	case kneeSettling:
-		if now >= kn.until {
-			kn.begin(kneeReduced, now+kneePatience)
+		if kn.collect(&kn.full, now, allBusy, route, took) {
+			kn.begin(kneeReduced, now, usual)
 		}
 	case kneeReduced:
-		if running >= reducedSlots(slots) {
-			kn.add(kn.reduced, route, took)
-		}
-		switch {
-		case kn.samples >= kneeSamples && kn.gains():
-			kn.cooldown = 0
-			kn.begin(kneeHeld, now+kneeHold)
-		case kn.samples >= kneeSamples:
-			kn.cooldown = min(max(2*kn.cooldown, kneeMinCooldown), kneeMaxCooldown)
-			kn.begin(kneeIdle, now+kn.cooldown)
-		case now >= kn.until:
-			kn.begin(kneeIdle, now)
+		if kn.collect(&kn.reduced, now, running >= reducedSlots(slots), route, took) {
+			kn.evaluate(now, usual)
 		}
 	case kneeHeld:
 		if now >= kn.until {
-			kn.begin(kneeIdle, now)
+			kn.pause(now, 0)
 		}
 	}
 }
 
+// begin begins to measure in a phase. Before that, the requests that were admitted with another limit have to end.
+func (kn *knee) begin(phase kneePhase, now, usual time.Duration) {
+	kn.phase, kn.from = phase, now
+	if usual > 0 {
+		kn.from += max(kneeSettleShortest, kneeSettleTimes*usual)
+	}
+	kn.until = kn.from + kneePatience
+	if phase == kneeFull {
+		kn.full = routeLatencies{}
+		return
+	}
+	kn.reduced = routeLatencies{}
+}
+
+// collect adds a sample to the latencies of the present phase if the slots are in use, and reports whether there are enough. It ends the
+// trial if that takes too long.
+func (kn *knee) collect(to *routeLatencies, now time.Duration, inUse bool, route string, took time.Duration) bool {
+	if now >= kn.until {
+		kn.pause(now, 0)
+		return false
+	}
+	if inUse && now >= kn.from {
+		to.add(route, took)
+	}
+	return to.samples >= kneeSamples
+}
+
+// evaluate decides about the lower limit. It is kept after two trials in a row, as the work may have become faster or slower by itself
+// during one of them.
+func (kn *knee) evaluate(now, usual time.Duration) {
+	switch {
+	case !gains(kn.full, kn.reduced):
+		kn.cooldown = min(max(2*kn.cooldown, kneeMinCooldown), kneeMaxCooldown)
+		kn.pause(now, kn.cooldown)
+	case !kn.gained:
+		kn.gained = true
+		kn.begin(kneeFull, now, usual)
+	default:
+		kn.cooldown = 0
+		kn.phase, kn.until = kneeHeld, now+kneeHold
+	}
+}
+
+// pause ends a trial or a limit, and begins no other trial for a while.
+func (kn *knee) pause(now, cooldown time.Duration) {
+	kn.phase, kn.until, kn.gained = kneeIdle, now+cooldown, false
+}
+
 // reset ends a trial, as the slots have changed.
-func (kn *knee) reset() { kn.begin(kneeIdle, 0) }
+func (kn *knee) reset() { kn.pause(0, 0) }
 
-func (kn *knee) begin(phase kneePhase, until time.Duration) {
-	kn.phase, kn.until, kn.samples = phase, until, 0
+// routeLatencies are the latencies of a phase by route.
+type routeLatencies struct {
+	samples int
+	byRoute map[string]*logLatency
 }
 
-func (kn *knee) add(to map[string]*logLatency, route string, took time.Duration) {
-	ll := to[route]
+func (rl *routeLatencies) add(route string, took time.Duration) {
+	ll := rl.byRoute[route]
 	if ll == nil {
-		if len(to) >= kneeRoutesMax {
+		if len(rl.byRoute) >= kneeRoutesMax {
 			return
 		}
+		if rl.byRoute == nil {
+			rl.byRoute = map[string]*logLatency{}
+		}
 		ll = &logLatency{}
-		to[route] = ll
+		rl.byRoute[route] = ll
 	}
 	ll.add(took)
-	kn.samples++
+	rl.samples++
 }
 
 // gains reports whether latencies fell by more than the slots did, beyond what chance explains. Routes are compared one by one,
 // so that it doesn't matter if their shares change meanwhile.
-func (kn *knee) gains() bool {
+func gains(full, reduced routeLatencies) bool {
 	change, variance, weights := 0.0, 0.0, 0.0
-	for route, after := range kn.reduced {
-		before := kn.full[route]
+	for route, after := range reduced.byRoute {
+		before := full.byRoute[route]
 		if before == nil || before.count < 2 || after.count < 2 {
 			continue
 		}
