forwarder: upstreams that refuse calls though they have room are no sign of load

Callers saw: while 12 of 13 upstreams of a service refused 45 of 100 calls for 8 s, beside free slots, one request in a hundred was served of those that need four of them or more. Each such failure counted as overload; the throttler of the entry then admitted 1.4 requests for each accepted one, down to its probes, and nearly all of these failed as before: refusing requests makes no room there.

Where answers report a pace, whether an upstream refused because it is full is taken from the report with that answer. A request that failed only by refusals with room does not count as failed by overload, at any depth of the chain (Feedback.refused_with_room; absent, as from older builds, a refused call counts as before). Services without reports of their pace are handled as before.

--- a/authenticator/calls.go
+++ b/authenticator/calls.go
@@ -34,7 +34,9 @@
 	answered atomic.Int32
 	nested   atomic.Bool
 	refused  atomic.Bool
-	failed   atomic.Bool
+	// overloaded is set if one of the refusals was for lack of room.
+	overloaded atomic.Bool
+	failed     atomic.Bool
 }
 
 // RecordAnswered records that a nested call of this one was answered successfully.
@@ -55,8 +57,17 @@
 // Failed reports whether a nested call failed, so that a failure of this call did not arise at this upstream.
 func (cl *Call[B]) Failed() bool { return cl.failed.Load() }
 
-// RecordRefused records that a nested call was refused.
-func (cl *Call[B]) RecordRefused() { cl.refused.Store(true) }
+// RecordRefused records that a nested call was refused. With room it was refused by an upstream that had room, which says nothing
+// about load.
+func (cl *Call[B]) RecordRefused(withRoom bool) {
+	cl.refused.Store(true)
+	if !withRoom {
+		cl.overloaded.Store(true)
+	}
+}
+
+// RefusedWithRoom reports whether nested calls were refused, all of them by upstreams that had room.
+func (cl *Call[B]) RefusedWithRoom() bool { return cl.refused.Load() && !cl.overloaded.Load() }
 
 // Refused reports whether a nested call was refused.
 func (cl *Call[B]) Refused() bool { return cl.refused.Load() }
--- a/connector/resetresponse.go
+++ b/connector/resetresponse.go
@@ -23,6 +23,8 @@
 func resetConn(cn net.Conn) bool {
 	for {
 		switch wrapped := cn.(type) {
+		case *headConn:
+			cn = wrapped.Conn
 		case *pipeConn:
 			cn = wrapped.Conn
 		case *stallConn:
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -77,7 +77,7 @@
 // so that the entry of the chain learns of it however long the chain is.
 func (cl *call) propagateOverload(rp *reply) {
 	if cl.parent != nil && rp.childRefused && rp.rs.StatusCode >= http.StatusInternalServerError {
-		cl.parent.RecordRefused()
+		cl.parent.RecordRefused(rp.refusedWithRoom)
 	}
 }
 
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -34,9 +34,10 @@
 	nested     bool
 	// targetAt is when the request at the entry of the call chain is due to meet its target; zero if it is patient or that is not known.
 	targetAt time.Time
-	// throttlerAdmitted is set if the throttler let the request in, childRefused if a nested call of its upstream was refused.
+	// throttlerAdmitted is set if the throttler let the request in, childOverloaded if a nested call of its upstream was refused for
+	// lack of room.
 	throttlerAdmitted bool
-	childRefused      bool
+	childOverloaded   bool
 	idempotent        bool
 	started           time.Time
 	body              *body
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -39,12 +39,12 @@
 		return nil, rf
 	}
 	at.countBody(rn.rs)
-	rp := &reply{rs: rn.rs, childRefused: rn.call.Refused(), childFailed: rn.call.Failed}
+	rp := &reply{rs: rn.rs, childRefused: rn.call.Refused(), refusedWithRoom: rn.call.RefusedWithRoom(), childFailed: rn.call.Failed}
 	rp.onEnd = func(err error) {
 		unspent := rn.end(err)
 		cancel()
 		fb := at.fw.feedback(at.hop, unspent)
-		fb.ChildRefused = rn.call.Refused()
+		fb.ChildRefused, fb.RefusedWithRoom = rn.call.Refused(), rn.call.RefusedWithRoom()
 		at.answered(rp.rs, fb, err)
 	}
 	return rp, nil
@@ -79,7 +79,7 @@
 		return nil, at.refused(refusalOf(fb), fb)
 	}
 	at.countBody(rs)
-	rp := &reply{rs: rs, childRefused: fb.GetChildRefused(), childFailed: fb.GetChildFailed}
+	rp := &reply{rs: rs, childRefused: fb.GetChildRefused(), refusedWithRoom: fb.GetRefusedWithRoom(), childFailed: fb.GetChildFailed}
 	rp.onEnd = func(err error) { at.answered(rs, lastFeedback(rs, fb), err) }
 	return rp, nil
 }
@@ -134,7 +134,7 @@
 	at.share.Return(int(fb.GetBudget()))
 	at.noteCutOffs(fb)
 	oc := router.Outcome{Result: answerResult(rs.StatusCode), Latency: at.headLatency, Load: loadOf(fb)}
-	at.cl.childRefused = at.cl.childRefused || fb.GetChildRefused()
+	at.cl.childOverloaded = at.cl.childOverloaded || fb.GetChildRefused() && !fb.GetRefusedWithRoom()
 	if err != nil || fb.GetChildRefused() {
 		oc.Result = router.ResultNeutral
 	}
--- a/forwarder/hop.go
+++ b/forwarder/hop.go
@@ -51,7 +51,7 @@
 		rp.end(nil)
 	}
 	head := fw.feedback(hop, unspent)
-	head.ChildRefused, head.ChildFailed = rn.call.Refused(), rn.call.Failed()
+	head.ChildRefused, head.RefusedWithRoom, head.ChildFailed = rn.call.Refused(), rn.call.RefusedWithRoom(), rn.call.Failed()
 	noteHeld(head, arrived)
 	wr.Header().Set(HeaderFeedback, encode(head))
 	if err := copyAnswer(wr, rp.rs); err != nil {
@@ -63,7 +63,7 @@
 	}
 	rp.end(nil)
 	last := fw.feedback(hop, unspent)
-	last.ChildRefused = rn.call.Refused()
+	last.ChildRefused, last.RefusedWithRoom = rn.call.Refused(), rn.call.RefusedWithRoom()
 	wr.Header().Set(http.TrailerPrefix+HeaderFeedback, encode(last))
 }
 
--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -69,6 +69,16 @@
 	}
 }
 
+// upstreamFull reports whether the upstream refused the request because it is full: by the load that the answer reports where that
+// names a pace, or else by the slots in use.
+func (rn *localRun) upstreamFull() bool {
+	lr, err := gypsumhoist.ParseLoadReport(rn.rs.Header.Get(gypsumhoist.HeaderLoad))
+	if err == nil && lr.PacePercent > 0 {
+		return !lr.HasRoom()
+	}
+	return rn.ticket.UpstreamBusy()
+}
+
 // overloadStatus reports whether an upstream's status means overload.
 func overloadStatus(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
@@ -205,7 +215,7 @@
 	}
 	rn.rs = rs
 	fw.noteReports(up, rs.Header, rn.record)
-	rn.busy = overloadStatus(rs.StatusCode) && rn.ticket.UpstreamBusy()
+	rn.busy = overloadStatus(rs.StatusCode) && rn.upstreamFull()
 	rn.ticket.Answered()
 	return fw.checkAnswer(rn)
 }
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -27,6 +27,8 @@
 	complete bool
 	// childRefused is set if a nested call of the upstream had been refused when the answer began.
 	childRefused bool
+	// refusedWithRoom is set if all these refusals came from upstreams that had room.
+	refusedWithRoom bool
 	// childFailed reports whether a nested call of the upstream failed; of a remote one, by the time the head of the answer came.
 	childFailed func() bool
 }
--- a/forwarder/throttle.go
+++ b/forwarder/throttle.go
@@ -20,7 +20,7 @@
 // reportToThrottler reports the outcome of a request that the throttler let in.
 func (fw *Forwarder) reportToThrottler(cl *call) {
 	if cl.throttlerAdmitted {
-		fw.throttler.Done(cl.throttleKey(), !cl.failedByOverload())
+		fw.throttler.Done(cl.throttleKey(), !fw.failedByOverload(cl))
 	}
 }
 
@@ -28,13 +28,16 @@
 	return throttler.Key{Route: cl.row.Route, Importance: cl.importance}
 }
 
-// failedByOverload reports whether a request failed because something on its path was overloaded.
-func (cl *call) failedByOverload() bool {
+// failedByOverload reports whether a request failed because something on its path was overloaded. Upstreams that refuse requests
+// though they have room, by their own reports, are not: fewer requests would leave as large a share of them refused.
+func (fw *Forwarder) failedByOverload(cl *call) bool {
 	switch cl.record.Reason {
-	case gypsumhoist.ReasonOverload, gypsumhoist.ReasonUpstreamRefused, gypsumhoist.ReasonDeadline, gypsumhoist.ReasonNoUpstream:
+	case gypsumhoist.ReasonUpstreamRefused:
+		return !fw.reportsPace(cl.service)
+	case gypsumhoist.ReasonOverload, gypsumhoist.ReasonDeadline, gypsumhoist.ReasonNoUpstream:
 		return true
 	case "":
-		return cl.childRefused && cl.record.Status >= http.StatusInternalServerError
+		return cl.childOverloaded && cl.record.Status >= http.StatusInternalServerError
 	default:
 		return false
 	}
--- a/load.go
+++ b/load.go
@@ -66,6 +66,9 @@
 // Known reports whether the report says anything.
 func (lr LoadReport) Known() bool { return lr.Slots > 0 }
 
+// HasRoom reports whether another request could start at once.
+func (lr LoadReport) HasRoom() bool { return lr.Waiting == 0 && lr.Running < lr.Slots }
+
 // String returns the report as a HeaderLoad value, empty if it says nothing.
 func (lr LoadReport) String() string {
 	if !lr.Known() {
