connector: an evicted head is not marked from a background read

The program built with -race, against two crowds of go test ./crowd, reported a race of headConn.Read in net/http's background read with Write: Read set a field to the value that it had. 0 reports in twelve crowds now. (The crowd tests' bounds of memory do not hold for a program with -race.)

--- a/connector/headconn.go
+++ b/connector/headconn.go
@@ -85,7 +85,10 @@
 	}
 	n, err := hc.Conn.Read(buf)
 	if hc.evicted.Load() {
-		hc.refused = hc.receiving
+		// Otherwise net/http reads in the background while the request is answered.
+		if hc.receiving {
+			hc.refused = true
+		}
 		return 0, errHeadRefused
 	}
 	if n > 0 {
