--- a/scheduler/chain_test.go
+++ b/simulator/chain_test.go
@@ -1,4 +1,4 @@
-package scheduler_test
+package simulator_test
 
 import (
 	"container/heap"
