--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -311,16 +311,16 @@
 
 func (ad *Admitter) coreRequest(rq Request) CoreRequest {
 	cr := CoreRequest{
-		Workspace:  rq.Workspace,
-		Route:      rq.Route,
-		Weight:     rq.Weight,
-		Importance: rq.Importance,
-		Depth:      rq.Depth,
-		Precedence: rq.Precedence,
-		Siblings:   rq.Siblings,
-		Committed:  rq.Committed,
-		Paced:      rq.Paced,
-		MaxWait:    rq.MaxWait,
+		Workspace:    rq.Workspace,
+		Route:        rq.Route,
+		Weight:       rq.Weight,
+		Importance:   rq.Importance,
+		Depth:        rq.Depth,
+		Precedence:   rq.Precedence,
+		Siblings:     rq.Siblings,
+		Committed:    rq.Committed,
+		LoadReported: rq.LoadReported,
+		MaxWait:      rq.MaxWait,
 	}
 	if !rq.Target.IsZero() {
 		cr.Target = rq.Target.Sub(ad.start)
--- a/admitter/api.go
+++ b/admitter/api.go
@@ -23,9 +23,9 @@
 	// Committed reports that an earlier call of its request was answered, whose work is lost if this one is refused: it goes before
 	// calls of its importance that are not.
 	Committed bool
-	// Paced reports that upstreams of the service report their pace. For some seconds after such a request the admitter tries out whether
+	// LoadReported reports that upstreams of the service report their load. For some seconds after such a request the admitter tries out whether
 	// its upstream does more work while a few of its slots stay free.
-	Paced bool
+	LoadReported bool
 	// MaxWait limits how long the request may wait while it is among the least important; zero leaves that to the admitter.
 	MaxWait time.Duration
 	// Target is when the answer is due for the request at the entry of the call chain to meet its target, if waiting could make it miss
--- a/admitter/core.go
+++ b/admitter/core.go
@@ -27,8 +27,8 @@
 	Committed bool
 	// MaxWait limits how long the request may wait while it is among the least important; zero leaves that to the core.
 	MaxWait time.Duration
-	// Paced reports that upstreams of the service report their pace; it allows trials with some slots free.
-	Paced bool
+	// LoadReported reports that upstreams of the service report their load; it allows trials with some slots free.
+	LoadReported bool
 
 	// Target is when the answer is due for its request to meet its target, if waiting could make it miss that; zero for patient requests.
 	Target time.Duration
@@ -120,7 +120,7 @@
 	if co.limit.slots == 0 {
 		return id, Refused{co.noUpstream()}
 	}
-	if rq.Paced {
+	if rq.LoadReported {
 		co.limit.knee.enable(now)
 	}
 	if rq.Committed {
--- a/admitter/knee.go
+++ b/admitter/knee.go
@@ -18,7 +18,7 @@
 	kneeSettleShortest = 100 * time.Millisecond // requests that were admitted with another limit still run for as long at least
 	kneeSettleTimes    = 2                      // or as many median latencies
 	kneeRoutesMax      = 16                     // routes whose latencies are compared
-	pacedFor           = 10 * time.Second       // time for which a call that says that the upstream reports its pace enables trials
+	reportedFor        = 10 * time.Second       // time for which a call that says that the upstream reports its load enables trials
 )
 
 // knee finds out whether an upstream does more work in a time if a few of its slots stay free. It serves an upstream that is in full
@@ -73,7 +73,7 @@
 func reducedSlots(slots int) int { return int(kneeShare * float64(slots)) }
 
 // enable allows trials for a while.
-func (kn *knee) enable(now time.Duration) { kn.enabledUntil = now + pacedFor }
+func (kn *knee) enable(now time.Duration) { kn.enabledUntil = now + reportedFor }
 
 // sample adds the latency of a request of a route; running is how many ran just before it ended, usual the median latency.
 func (kn *knee) sample(now time.Duration, route string, took time.Duration, running, slots int, usual time.Duration) {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -159,8 +159,8 @@
 	sh := cl.budget.DrawShare()
 	at := &attempt{fw: fw, cl: cl, pick: pk, share: &sh, hop: cl.hop(pk, no, sh.Retries()), started: time.Now()}
 	at.hop.Siblings = fw.nestedStats.hasSiblings(cl.parent)
-	at.hop.Paced = fw.reportsPace(cl.service)
-	at.hop.Committed = at.hop.Paced && cl.committed()
+	at.hop.LoadReported = fw.reportsLoad(cl.service)
+	at.hop.Committed = at.hop.LoadReported && cl.committed()
 	at.hop.TargetUs = cl.targetLeft()
 	at.hop.Repeat = retried || cl.parent != nil && cl.parent.Repeat
 	out := fw.outgoing(ctx, req, cl)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -86,7 +86,7 @@
 	throttler      *throttler.Throttler
 	identify       func(*http.Request) gypsumhoist.RequestID
 	acceptUnframed bool
-	reportsPace    func(gypsumhoist.Service) bool
+	reportsLoad    func(gypsumhoist.Service) bool
 }
 
 type upstreamSlot struct {
@@ -192,12 +192,12 @@
 // nil refuses none.
 func WithThrottler(th *throttler.Throttler) Option { return func(fw *Forwarder) { fw.throttler = th } }
 
-// WithPaceReports sets a function that reports whether the upstreams of a service report their pace; it must be fast. For these services
+// WithLoadReports sets a function that reports whether the upstreams of a service report their load; it must be fast. For these services
 // the calls of a request that has been served in part go first; nil means that no service does.
-func WithPaceReports(reports func(gypsumhoist.Service) bool) Option {
+func WithLoadReports(reports func(gypsumhoist.Service) bool) Option {
 	return func(fw *Forwarder) {
 		if reports != nil {
-			fw.reportsPace = reports
+			fw.reportsLoad = reports
 		}
 	}
 }
@@ -224,7 +224,7 @@
 		onBroken:    func(context.Context) {},
 		onDraining:  func(Upstream) {},
 		identify:    func(*http.Request) gypsumhoist.RequestID { return newRequestID() },
-		reportsPace: func(gypsumhoist.Service) bool { return false },
+		reportsLoad: func(gypsumhoist.Service) bool { return false },
 	}
 	fw.aborted, fw.abort = context.WithCancel(context.Background())
 	for _, opt := range opts {
--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -69,11 +69,11 @@
 	}
 }
 
-// upstreamFull reports whether the upstream refused the request because it is full: by the load that the answer reports where that
-// names a pace, or else by the slots in use.
+// upstreamFull reports whether the upstream refused the request because it is full: by the load that the answer reports, or else by the
+// slots in use.
 func (rn *localRun) upstreamFull() bool {
 	lr, err := gypsumhoist.ParseLoadReport(rn.rs.Header.Get(gypsumhoist.HeaderLoad))
-	if err == nil && lr.PacePercent > 0 {
+	if err == nil && lr.Known() {
 		return !lr.HasRoom()
 	}
 	return rn.ticket.UpstreamBusy()
@@ -126,22 +126,22 @@
 	}
 	deadline, _ := ctx.Deadline()
 	var target time.Time
-	if hop.GetPaced() {
+	if hop.GetLoadReported() {
 		target = targetOf(hop)
 	}
 	tk, err := fw.admitter.Admit(ctx, admitter.Request{
-		Workspace:  gypsumhoist.Workspace(hop.GetWorkspace()),
-		Route:      hop.GetRoute(),
-		Weight:     int(hop.GetWeight()),
-		Importance: gypsumhoist.Importance(hop.GetImportance()),
-		Depth:      int(hop.GetDepth()),
-		Precedence: admitter.PrecedenceOf(gypsumhoist.RequestID(hop.GetRequest())),
-		Siblings:   hop.GetSiblings(),
-		Committed:  hop.GetCommitted(),
-		Paced:      hop.GetPaced(),
-		Target:     target,
-		Deadline:   deadline,
-		MaxWait:    time.Duration(hop.GetPatienceUs()) * time.Microsecond,
+		Workspace:    gypsumhoist.Workspace(hop.GetWorkspace()),
+		Route:        hop.GetRoute(),
+		Weight:       int(hop.GetWeight()),
+		Importance:   gypsumhoist.Importance(hop.GetImportance()),
+		Depth:        int(hop.GetDepth()),
+		Precedence:   admitter.PrecedenceOf(gypsumhoist.RequestID(hop.GetRequest())),
+		Siblings:     hop.GetSiblings(),
+		Committed:    hop.GetCommitted(),
+		LoadReported: hop.GetLoadReported(),
+		Target:       target,
+		Deadline:     deadline,
+		MaxWait:      time.Duration(hop.GetPatienceUs()) * time.Microsecond,
 	})
 	if err != nil {
 		rn.flight.end(quarantiner.EndNeutral)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -150,7 +150,7 @@
 	cl.record.Status = rf.Reason.Status()
 	fw.meters.refused(rf.Reason)
 	if cl.parent != nil {
-		cl.parent.RecordRefused(rf.Reason == gypsumhoist.ReasonUpstreamRefused && fw.reportsPace(cl.service))
+		cl.parent.RecordRefused(rf.Reason == gypsumhoist.ReasonUpstreamRefused && fw.reportsLoad(cl.service))
 		cl.parent.RecordFailed()
 	}
 	writeRefusal(wr, cl.id, rf)
--- a/forwarder/target.go
+++ b/forwarder/target.go
@@ -52,7 +52,7 @@
 // more requests that can still be in time. The time that the caller has used in an earlier attempt counts, as far as it says how much
 // it has left.
 func (fw *Forwarder) setTarget(cl *call) {
-	if cl.nested || cl.row.TargetLatency <= 0 || !fw.reportsPace(cl.service) {
+	if cl.nested || cl.row.TargetLatency <= 0 || !fw.reportsLoad(cl.service) {
 		return
 	}
 	left := cl.row.TargetLatency
@@ -67,7 +67,7 @@
 
 // learnDuration learns from a caller's request that was answered.
 func (fw *Forwarder) learnDuration(cl *call, succeeded bool) {
-	if succeeded && !cl.nested && cl.row != nil && cl.row.TargetLatency > 0 && fw.reportsPace(cl.service) {
+	if succeeded && !cl.nested && cl.row != nil && cl.row.TargetLatency > 0 && fw.reportsLoad(cl.service) {
 		fw.durations.learn(cl.row.Route, time.Since(cl.started))
 	}
 }
--- a/forwarder/throttle.go
+++ b/forwarder/throttle.go
@@ -33,7 +33,7 @@
 func (fw *Forwarder) failedByOverload(cl *call) bool {
 	switch cl.record.Reason {
 	case gypsumhoist.ReasonUpstreamRefused:
-		return !fw.reportsPace(cl.service)
+		return !fw.reportsLoad(cl.service)
 	case gypsumhoist.ReasonOverload, gypsumhoist.ReasonDeadline, gypsumhoist.ReasonNoUpstream:
 		return true
 	case "":
--- a/router/router.go
+++ b/router/router.go
@@ -53,21 +53,26 @@
 type service struct {
 	mu    sync.Mutex
 	group *Group
-	// paceUntil is until when the service counts as one whose upstreams report their pace, in time.Duration since the router's start.
-	paceUntil atomic.Int64
+	// load and pace say until when the service counts as one whose upstreams report their load, and their pace.
+	load, pace reportExpiry
 }
 
-// notePace records that an upstream reported its pace at a time.
-func (sv *service) notePace(at time.Duration) {
+// reportExpiry is when what upstreams have reported expires, in time.Duration since the router's start.
+type reportExpiry struct{ until atomic.Int64 }
+
+// note records that an upstream made a report at a time.
+func (re *reportExpiry) note(at time.Duration) {
 	until := int64(at + PaceLifetime)
 	for {
-		old := sv.paceUntil.Load()
-		if until <= old || sv.paceUntil.CompareAndSwap(old, until) {
+		old := re.until.Load()
+		if until <= old || re.until.CompareAndSwap(old, until) {
 			return
 		}
 	}
 }
 
+func (re *reportExpiry) valid(now time.Duration) bool { return int64(now) < re.until.Load() }
+
 // Option configures a Router.
 type Option func(*Router)
 
@@ -170,7 +175,14 @@
 // Decisions that load reports change are changed only for such services.
 func (rt *Router) ReportsPace(name gypsumhoist.Service) bool {
 	sv, ok := (*rt.services.Load())[name]
-	return ok && rt.now() < time.Duration(sv.paceUntil.Load())
+	return ok && sv.pace.valid(rt.now())
+}
+
+// ReportsLoad reports whether an upstream of the service has reported its load, with or without its pace, in the last 10 s, as far as
+// this node has heard. Decisions on admission that need such upstreams are changed only for these services.
+func (rt *Router) ReportsLoad(name gypsumhoist.Service) bool {
+	sv, ok := (*rt.services.Load())[name]
+	return ok && sv.load.valid(rt.now())
 }
 
 // service returns the state of a service and creates it if necessary.
@@ -289,8 +301,11 @@
 	pk.service.mu.Lock()
 	changed := pk.service.group.report(now, pk.Upstream.Instance, rp)
 	pk.service.mu.Unlock()
+	if rp.Load.Known() {
+		pk.service.load.note(now - rp.Load.Age)
+	}
 	if rp.Load.PacePercent > 0 {
-		pk.service.notePace(now - rp.Load.Age)
+		pk.service.pace.note(now - rp.Load.Age)
 	}
 	if changed.draining {
 		pk.router.logger.Log(eventDraining, "upstream", pk.Upstream.Instance, "process", rp.Process)
--- a/server/node.go
+++ b/server/node.go
@@ -98,7 +98,7 @@
 		forwarder.WithMetrics(sv.metrics), forwarder.WithServiceWatch(nd.watch), forwarder.WithObserver(nd.observe),
 		forwarder.WithQuarantiner(nd.quarantine.quarantiner), forwarder.WithBrokenConnection(nd.quarantine.probeUpstream),
 		forwarder.WithDrainingNotice(nd.upstreamDrains),
-		forwarder.WithPaceReports(nd.router.ReportsPace),
+		forwarder.WithLoadReports(nd.router.ReportsLoad),
 		forwarder.WithBounds(bd.BodyBytes, time.Duration(bd.FirstByte)),
 		forwarder.WithUnframedAnswers(sv.settings.Upstream.UnframedAnswers == loader.UnframedAccept),
 	)...)
