--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -66,11 +66,9 @@
 	if cl == nil {
 		return nil
 	}
-	requests, allowed := cl.allowance()
-	total := sum(cl.requests[:])
+	share := cl.share()
 	cl.requests[cl.slice%sliceCount]++
-	refused := (requests - allowed) / (requests + 1)
-	if total < minRequests || refused <= 0 || cl.admit(ws, 1-refused, th.random) {
+	if share >= 1 || cl.admit(ws, share, th.random) {
 		return nil
 	}
 	wait := minRetryAfter + time.Duration(th.random.Int64N(int64(maxRetryAfter-minRetryAfter)))
@@ -110,6 +108,15 @@
 	return admitted
 }
 
+// share returns the share of the requests that is admitted, 1 or more if none is refused.
+func (cl *class) share() float64 {
+	if sum(cl.requests[:]) < minRequests {
+		return 1
+	}
+	requests, allowed := cl.allowance()
+	return 1 - (requests-allowed)/(requests+1)
+}
+
 // allowance returns the number of requests of a period, and how many of them may be admitted. The period is the recent slices
 // if none of their requests failed for overload, so that throttling ends soon after the overload, and the window otherwise.
 func (cl *class) allowance() (requests, allowed float64) {
@@ -130,7 +137,7 @@
 
 // class returns the counts of a class, advanced to the current slice. A new class beyond classesMax clears all others.
 func (th *Throttler) class(key Key) *class {
-	now := int64(time.Since(th.start) * sliceCount / window)
+	now := th.now()
 	cl := th.classes[key]
 	if cl == nil {
 		if len(th.classes) >= classesMax {
@@ -139,13 +146,21 @@
 		cl = &class{slice: now, credit: map[gypsumhoist.Workspace]float64{}}
 		th.classes[key] = cl
 	}
+	cl.advance(now)
+	return cl
+}
+
+// now returns the number of the current slice.
+func (th *Throttler) now() int64 { return int64(time.Since(th.start) * sliceCount / window) }
+
+// advance clears the slices that have left the window.
+func (cl *class) advance(now int64) {
 	for steps := 0; cl.slice < now && steps < sliceCount; steps++ {
 		cl.slice++
 		index := cl.slice % sliceCount
 		cl.requests[index], cl.accepted[index], cl.overloaded[index] = 0, 0, 0
 	}
 	cl.slice = now
-	return cl
 }
 
 func sum(slices []float64) float64 {
