--- a/admitter/forecast.go
+++ b/admitter/forecast.go
@@ -79,7 +79,14 @@
 // A small share of these requests is let through as probes.
 func (fc *Forecast) Refuse(now time.Duration, tg Target, im gypsumhoist.Importance, upstreams int) *gypsumhoist.Refusal {
 	tf, ok := fc.targets[tg]
-	if !ok || !tf.refuses(now, im, upstreams) {
+	if !ok {
+		return nil
+	}
+	return tf.refuse(now, im, upstreams)
+}
+
+func (tf *targetForecast) refuse(now time.Duration, im gypsumhoist.Importance, upstreams int) *gypsumhoist.Refusal {
+	if !tf.refuses(now, im, upstreams) {
 		return nil
 	}
 	tf.refusable++
