--- a/router/group.go
+++ b/router/group.go
@@ -139,16 +139,16 @@
 	gr.active, gr.activeSlots, gr.ejectedSlots = 0, 0, 0
 	var active []*member
 	for _, mb := range gr.sorted {
-		grade := gr.reachability.GradeOf(prober.Member{Peer: mb.upstream.Peer, Domain: mb.upstream.Domain})
-		switch {
-		case gr.evacuates(mb), gr.drains(mb), grade == prober.GradeUnreachable:
+		switch gr.exclusion(mb) {
+		case ExclusionEvacuated, ExclusionDraining, ExclusionUnreachable:
 			continue
-		case grade == prober.GradeSilent:
+		case ExclusionSilent:
 			gr.silent = append(gr.silent, mb)
 			continue
-		case mb.upstream.State == StateStopping:
+		case ExclusionStopping:
 			gr.stopping = append(gr.stopping, mb)
 			continue
+		case ExclusionNone, ExclusionEjected:
 		}
 		active = append(active, mb)
 		gr.active++
