--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -148,9 +148,14 @@
 
 // initFromRow sets what a request takes from its row and its workspace.
 func (fw *Forwarder) initFromRow(cl *call, tb *registrar.Table, rw *registrar.Row, ws gypsumhoist.Workspace, method string) {
+	cl.service = fw.splitter.service(rw)
+	cl.setRow(tb, rw, ws, method)
+}
+
+// setRow sets what a request takes from its row and its workspace, but for the service.
+func (cl *call) setRow(tb *registrar.Table, rw *registrar.Row, ws gypsumhoist.Workspace, method string) {
 	cl.row = rw
 	cl.workspace = ws
-	cl.service = fw.splitter.service(rw)
 	cl.importance = rw.Importance
 	if wsRow, ok := tb.WorkspaceRow(ws); ok {
 		cl.workspaceRow = wsRow
@@ -215,12 +220,17 @@
 
 // checkTableAge refuses a row with cut_off=refuse while the table is older than registrar.CutOffLease or of unknown age.
 func (fw *Forwarder) checkTableAge(rw *registrar.Row) *gypsumhoist.Refusal {
+	return fw.tableAgeRefusal(rw, unconfirmedRetryAfter)
+}
+
+// tableAgeRefusal is checkTableAge with the source of the time after which a caller should come back to a node without a confirmed table.
+func (fw *Forwarder) tableAgeRefusal(rw *registrar.Row, retryAfter func() time.Duration) *gypsumhoist.Refusal {
 	age := fw.holder.Age()
 	switch {
 	case rw.CutOff != registrar.CutOffRefuse || age <= registrar.CutOffLease:
 		return nil
 	case age == registrar.AgeUnknown:
-		return gypsumhoist.NotRun(gypsumhoist.ReasonTableStale, unconfirmedRetryAfter(),
+		return gypsumhoist.NotRun(gypsumhoist.ReasonTableStale, retryAfter(),
 			"nobody has confirmed the table since this node started, and the row is not served then")
 	default:
 		return gypsumhoist.NotRun(gypsumhoist.ReasonTableStale, registrar.CutOffLease,
--- a/forwarder/splitter.go
+++ b/forwarder/splitter.go
@@ -43,10 +43,16 @@
 			sp.positions = map[registrar.Split]float64{}
 		}
 	}
+	pos = following(pos)
+	sp.positions[split] = pos
+	return pos
+}
+
+// following returns the position after another one.
+func following(pos float64) float64 {
 	pos += goldenStep
 	if pos >= 1 {
 		pos--
 	}
-	sp.positions[split] = pos
 	return pos
 }
