--- a/cmd/gypsumhoist/fleet_test.go
+++ b/cmd/gypsumhoist/fleet_test.go
@@ -26,6 +26,15 @@
 	"POST /quarantine/lift/abcd": {200, `{"instance":"n3"}`},
 	"GET /status/work/hobart": {200, `{"failure_domain":"hobart","evacuated":true,"revision":7,"requests":3,"partial":true,
 		"instances":[{"instance":"n1","failure_domain":"hobart","revision":7,"requests":3}],"silent":["n9"]}`},
+	"GET /route": {200, `{"instance":"n1","revision":17,"table_age_ns":200000000,"workspace":"derwent","route":"/slips","row_number":3,
+		"importance":70,"deadline_ns":1500000000,"retries":2,"throttle":{"share":0.5,"chance":0,"retry_after_min_ns":250000000},
+		"limits":[{"route":"/slips","rate_per_s":2.5,"burst":7,"tokens":3,"outlook":"takes_token"}],
+		"services":[{"service":"rolls","share":1,"next":true,"forecast":{"cut_off":40,"reports":5},"forecast_further":{},
+		"refusal":{"component":"throttler","reason":"overload","status":503,"retry_after_ns":250000000,"retry_after_max_ns":750000000,"detail":"too few"},
+		"routing":{"known":true,"next":"n3","next_reason":"probe","candidates":[
+		{"instance":"n2","failure_domain":"hobart","state":"ready","share":1,"slots":20,"load":4.5,"slow_start":0.25,
+		"node_report_age_ns":30000000,"predicted_completion_ns":12000000},
+		{"instance":"n3","failure_domain":"hobart","state":"ready","excluded":"ejected","ejected_for_ns":400000000,"slow_start":1}]}}]}`},
 	"GET /status/work/nowhere":   {404, `{}`},
 	"POST /quarantine/lift/none": {404, `{"error":"suspect none is not known","silent":["n9"]}`},
 }
@@ -56,6 +65,22 @@
 	cr.mustFail("not known", "explain", "r2")
 }
 
+// Guards against a refusal or an exclusion that the text leaves out.
+func TestRouteCommand(t *testing.T) {
+	cr := newFakePort(t)
+	out := cr.mustRun("Row derwent /slips number 3: importance 70", "route", "GET", "/slips", "--workspace=derwent")
+	for _, want := range []string{
+		"From n1, revision 17", "3 tokens here, takes_token", "cut-off 40 by 5 reports",
+		"Refused by the throttler: overload (503), Retry-After 250ms to 750ms: too few.", "The next attempt goes to n3 (probe)",
+		"1.000", "4.5/20", "30ms", "12ms", "slow start at 0.25", "ejected, no probes for 400ms",
+	} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q lacks %q", out, want)
+		}
+	}
+	cr.mustRun(`"row_number":3`, "route", "GET", "/slips", "--json")
+}
+
 func TestReportBurnCommand(t *testing.T) {
 	cr := newFakePort(t)
 	out := cr.mustRun("750.00", "report", "burn")
--- a/cmd/gypsumhoist/main.go
+++ b/cmd/gypsumhoist/main.go
@@ -16,6 +16,7 @@
 	Status statusCmd `cmd:"" help:"Say which revision of the table is in force where."`
 	Domain domainCmd `cmd:"" help:"Take failure domains out of the table."`
 
+	Route      routeCmd      `cmd:"" help:"Say where a request would go now from one node, and why, without sending it."`
 	Explain    explainCmd    `cmd:"" help:"Say what each instance decided about a request, and why."`
 	Losses     lossesCmd     `cmd:"" help:"Say from saved logs which requests were lost, when, and where in their chain of calls it began."`
 	Report     reportCmd     `cmd:"" help:"Report on the whole fleet."`
--- a/cmd/gypsumhoist/operator_test.go
+++ b/cmd/gypsumhoist/operator_test.go
@@ -61,6 +61,7 @@
 		Status statusCmd `cmd:""`
 		Domain domainCmd `cmd:""`
 
+		Route      routeCmd      `cmd:""`
 		Explain    explainCmd    `cmd:""`
 		Report     reportCmd     `cmd:""`
 		Quarantine quarantineCmd `cmd:""`
@@ -72,7 +73,7 @@
 		&cmds.Key.Grant.operatorFlags, &cmds.Key.Withdraw.operatorFlags, &cmds.Key.List.operatorFlags,
 		&cmds.Status.operatorFlags, &cmds.Domain.Drop.operatorFlags,
 		&cmds.Domain.Evacuate.operatorFlags, &cmds.Domain.Restore.operatorFlags, &cmds.Domain.Status.operatorFlags,
-		&cmds.Explain.operatorFlags, &cmds.Report.Burn.operatorFlags,
+		&cmds.Route.operatorFlags, &cmds.Explain.operatorFlags, &cmds.Report.Burn.operatorFlags,
 		&cmds.Quarantine.List.operatorFlags, &cmds.Quarantine.Lift.operatorFlags,
 	} {
 		of.out = &out
--- a/server/handlers.go
+++ b/server/handlers.go
@@ -44,6 +44,7 @@
 	rt.GET("/metrics", func(wr http.ResponseWriter, _ *http.Request) { sv.metrics.WritePrometheus(wr) })
 	rt.GET("/health", sv.serveHealth)
 	rt.GET("/explain/:id", sv.serveExplain)
+	rt.GET("/route", sv.serveRoute)
 	rt.GET("/report/burn", sv.serveBurn)
 	rt.GET("/report/burn.html", sv.serveBurnPage)
 	rt.GET("/status/shards", sv.serveShards)
