--- a/cmd/gypsumhoist/fleet_test.go
+++ b/cmd/gypsumhoist/fleet_test.go
@@ -29,7 +29,7 @@
 	"GET /route": {200, `{"instance":"n1","revision":17,"table_age_ns":200000000,"workspace":"derwent","route":"/slips","row_number":3,
 		"importance":70,"deadline_ns":1500000000,"retries":2,"throttle":{"share":0.5,"chance":0,"retry_after_min_ns":250000000},
 		"limits":[{"route":"/slips","rate_per_s":2.5,"burst":7,"tokens":3,"outlook":"takes_token"}],
-		"services":[{"service":"rolls","share":1,"next":true,"forecast":{"cut_off":40,"reports":5},"forecast_further":{},
+		"services":[{"service":"rolls","share":1,"next":true,"forecast":{"cut_off":80,"reports":5,"below":true},"forecast_further":{},
 		"refusal":{"component":"throttler","reason":"overload","status":503,"retry_after_ns":250000000,"retry_after_max_ns":750000000,"detail":"too few"},
 		"routing":{"known":true,"next":"n3","next_reason":"probe","candidates":[
 		{"instance":"n2","failure_domain":"hobart","state":"ready","share":1,"slots":20,"load":4.5,"slow_start":0.25,
@@ -70,7 +70,7 @@
 	cr := newFakePort(t)
 	out := cr.mustRun("Row derwent /slips number 3: importance 70", "route", "GET", "/slips", "--workspace=derwent")
 	for _, want := range []string{
-		"From n1, revision 17", "3 tokens here, takes_token", "cut-off 40 by 5 reports",
+		"From n1, revision 17", "3 tokens here, takes_token", "cut-off 80 by 5 reports, the newest 0s old (the request is below it)",
 		"Refused by the throttler: overload (503), Retry-After 250ms to 750ms: too few.", "The next attempt goes to n3 (probe)",
 		"1.000", "4.5/20", "30ms", "12ms", "slow start at 0.25", "ejected, no probes for 400ms",
 	} {
--- a/cmd/gypsumhoist/route.go
+++ b/cmd/gypsumhoist/route.go
@@ -137,7 +137,11 @@
 	if ol.CutOff == 0 {
 		return "no cut-off"
 	}
-	return fmt.Sprintf("cut-off %d by %d reports, the newest %s old", ol.CutOff, ol.Reports, short(ol.NewestAge))
+	text := fmt.Sprintf("cut-off %d by %d reports, the newest %s old", ol.CutOff, ol.Reports, short(ol.NewestAge))
+	if ol.Below {
+		text += " (the request is below it)"
+	}
+	return text
 }
 
 func candidateRecord(cd *router.Candidate) []string {
