--- a/simulator/chain_test.go
+++ b/admitter/chain_test.go
@@ -1,4 +1,4 @@
-package simulator_test
+package admitter_test
 
 import (
 	"container/heap"
@@ -75,7 +75,7 @@
 type fleet struct {
 	random   *rand.Rand
 	now      time.Duration
-	events   events
+	events chainEvents
 	sequence uint64
 	lastID   uint64
 	services []*service
@@ -151,31 +151,31 @@
 
 func (fl *fleet) forkRandom() *rand.Rand { return rand.New(rand.NewPCG(fl.random.Uint64(), 1)) }
 
-// event is something that happens at a time; events of one time happen in the order in which they were added.
-type event struct {
+// chainEvent is something that happens at a time; events of one time happen in the order in which they were added.
+type chainEvent struct {
 	at       time.Duration
 	sequence uint64
 	do       func()
 }
 
-type events []event
+type chainEvents []chainEvent
 
-func (ev events) Len() int { return len(ev) }
+func (ev chainEvents) Len() int { return len(ev) }
 
-func (ev events) Less(first, second int) bool {
+func (ev chainEvents) Less(first, second int) bool {
 	if ev[first].at != ev[second].at {
 		return ev[first].at < ev[second].at
 	}
 	return ev[first].sequence < ev[second].sequence
 }
 
-func (ev events) Swap(first, second int) { ev[first], ev[second] = ev[second], ev[first] }
+func (ev chainEvents) Swap(first, second int) { ev[first], ev[second] = ev[second], ev[first] }
 
 // Push is for package heap.
-func (ev *events) Push(item any) { *ev = append(*ev, item.(event)) }
+func (ev *chainEvents) Push(item any) { *ev = append(*ev, item.(chainEvent)) }
 
 // Pop is for package heap.
-func (ev *events) Pop() any {
+func (ev *chainEvents) Pop() any {
 	last := len(*ev) - 1
 	item := (*ev)[last]
 	*ev = (*ev)[:last]
@@ -184,7 +184,7 @@
 
 func (fl *fleet) at(when time.Duration, do func()) {
 	fl.sequence++
-	heap.Push(&fl.events, event{at: max(when, fl.now), sequence: fl.sequence, do: do})
+	heap.Push(&fl.events, chainEvent{at: max(when, fl.now), sequence: fl.sequence, do: do})
 }
 
 // run simulates the load. It must run in a bubble of synctest, whose clock it moves along with its own.
@@ -201,7 +201,7 @@
 		}
 	}
 	for len(fl.events) > 0 {
-		next := heap.Pop(&fl.events).(event)
+		next := heap.Pop(&fl.events).(chainEvent)
 		fl.now = next.at
 		// The throttler reads the bubble's clock, with slices of 250 ms.
 		if behind := fl.now - time.Since(start); behind >= 10*time.Millisecond {
--- a/simulator/deployments_test.go
+++ b/admitter/deployments_test.go
@@ -1,4 +1,4 @@
-package simulator_test
+package admitter_test
 
 import (
 	"fmt"
