--- a/admitter/chain_test.go
+++ b/admitter/chain_test.go
@@ -75,7 +75,7 @@
 type fleet struct {
 	random   *rand.Rand
 	now      time.Duration
-	events chainEvents
+	events   chainEvents
 	sequence uint64
 	lastID   uint64
 	services []*service
