forwarder: a load report judges a refusal only where the calling node uses load reports

The upstream's node judged by the report that came with a refusal whether the upstream was full, also for calls of nodes that use no load reports, by their settings or as older builds: routing.load_reports = false did not switch that off. Hop.load_reported, absent from older builds, decides now. forwarder/refused_with_room_test.go, 'is judged by the slots in use', failed before with overload.

--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -69,12 +69,14 @@
 	}
 }
 
-// upstreamFull reports whether the upstream refused the request because it is full: by the load that the answer reports, or else by the
-// slots in use.
-func (rn *localRun) upstreamFull() bool {
-	lr, err := gypsumhoist.ParseLoadReport(rn.rs.Header.Get(gypsumhoist.HeaderLoad))
-	if err == nil && lr.Known() {
-		return !lr.HasRoom()
+// upstreamFull reports whether the upstream refused the request because it is full: by the load that the answer reports if the calling
+// node uses load reports, or else by the slots in use.
+func (rn *localRun) upstreamFull(byReport bool) bool {
+	if byReport {
+		lr, err := gypsumhoist.ParseLoadReport(rn.rs.Header.Get(gypsumhoist.HeaderLoad))
+		if err == nil && lr.Known() {
+			return !lr.HasRoom()
+		}
 	}
 	return rn.ticket.UpstreamBusy()
 }
@@ -215,7 +217,7 @@
 	}
 	rn.rs = rs
 	fw.noteReports(up, rs.Header, rn.record)
-	rn.busy = overloadStatus(rs.StatusCode) && rn.upstreamFull()
+	rn.busy = overloadStatus(rs.StatusCode) && rn.upstreamFull(hop.GetLoadReported())
 	rn.ticket.Answered()
 	return fw.checkAnswer(rn)
 }
--- a/forwarder/refused_with_room_test.go
+++ b/forwarder/refused_with_room_test.go
@@ -66,3 +66,28 @@
 		Expect(throttled(fl, "", nil)).To(BeNumerically(">", 50))
 	}))
 })
+
+// Guards against reports that change how a refusal is judged where the settings of the calling node, or its older build, use none.
+var _ = Describe("a refusal by an upstream that reports that it is full, though few of its slots are in use", func() {
+	reasonWith := func(fl *fleet, reports func(gypsumhoist.Service) bool) string {
+		nd := fl.add("slips-1", func(wr http.ResponseWriter, _ *http.Request) {
+			wr.Header().Set(gypsumhoist.HeaderLoad, "running=20, waiting=4, slots=20")
+			wr.Header().Set(gypsumhoist.HeaderVerdict, gypsumhoist.VerdictNotRun.String())
+			wr.WriteHeader(http.StatusServiceUnavailable)
+		})
+		fl.row(registrar.Row{Workspace: "kingston", Route: "/slips", Service: "slips"})
+		nd.options = append(nd.options, forwarder.WithLoadReports(reports))
+		fl.restart(nd)
+		rs, _, err := fl.call(nd, "GET", "/slips", "", gypsumhoist.HeaderKey, fl.grant("kingston"))
+		Expect(err).NotTo(HaveOccurred())
+		return reason(rs)
+	}
+
+	It("is judged by the slots in use if the calling node uses no load reports", withFleet(func(fl *fleet) {
+		Expect(reasonWith(fl, nil)).To(Equal(string(gypsumhoist.ReasonUpstreamRefused)))
+	}))
+
+	It("is one for overload if the calling node uses them", withFleet(func(fl *fleet) {
+		Expect(reasonWith(fl, func(gypsumhoist.Service) bool { return true })).To(Equal(string(gypsumhoist.ReasonOverload)))
+	}))
+})
