--- a/review/standin2/platform/standin2/case10.go
+++ b/review/standin2/platform/standin2/case10.go
@@ -46,7 +46,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(50 * time.Millisecond):
+			case <-time.After(25 * time.Millisecond):
 				go entry.send("GET", "/safe-noticeboard/2f", nil)
 			}
 		}
@@ -60,22 +60,25 @@
 		return false, nil
 	}
 	acknowledged := time.Now()
+	inTouchSince := acknowledged
 	if trouble {
 		beside.kill()
 		time.Sleep(300 * time.Millisecond)
 		if err := beside.restart(); err != nil {
 			return false, err
 		}
+		inTouchSince = time.Now()
 	}
 	time.Sleep(1500 * time.Millisecond)
 	leaving.say("heartbeat", late)
 	const (
 		drain        = 2 * time.Second
 		stableWindow = 3 * time.Second
+		margin       = 200 * time.Millisecond
 	)
 	time.Sleep(time.Until(acknowledged.Add(9 * time.Second)))
-	// The node that was started again is in touch stableWindow after its start.
-	from := acknowledged.Add(drain + stableWindow + time.Second)
+	// Later than drainS, and later than stableWindowS after the start of the node, when it is in touch again.
+	from := inTouchSince.Add(max(drain, stableWindow) + margin)
 	ran := leaving.ranSince(from)
 	rc.note("%d requests began at the back end that had deregistered, more than %v after the acknowledgement", len(ran), from.Sub(acknowledged))
 	return len(ran) > 0, nil
