--- a/review/standin2/platform/standin2/case6.go
+++ b/review/standin2/platform/standin2/case6.go
@@ -5,13 +5,15 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
-// secondDiskLoss shows whether the core survives that one machine loses its disk, comes back, and loses its disk again at once.
+// diskLossAfterReplacement shows whether the core survives that one machine loses its disk shortly after another was replaced as planned.
 //
-// Only one of three core machines is ever lost, so two of three hold the acknowledged configuration on their disks all the time.
-func secondDiskLoss(rc *record, trouble bool) (bool, error) {
+// The successor has run for much longer than it may take to catch up before its predecessor is stopped for good, so that one machine is
+// lost in all: the one whose disk goes.
+func diskLossAfterReplacement(rc *record, trouble bool) (bool, error) {
 	dp, err := newDeployment(rc, []string{"a", "b", "c"}, nodeSpec{"a", "noticeboard"}, nodeSpec{"b", "noticeboard"})
 	if err != nil {
 		return false, err
@@ -37,41 +39,45 @@
 			return false, err
 		}
 	}
+	const (
+		catchUp     = 4 * time.Second
+		beforeLoss  = 2 * time.Second
+		recoverTime = 15 * time.Second
+	)
 	time.Sleep(3 * time.Second)
 	if an := dp.nodes[0].send("GET", "/safe-noticeboard/2f", nil); an.status != http.StatusOK {
 		rc.note("before the disruption a request got %d", an.status)
 	}
-	const (
-		rounds      = 5
-		catchUp     = 4 * time.Second
-		recoverWait = 8 * time.Second
-		longest     = time.Minute
-	)
-	for round := 1; trouble && round <= rounds && time.Since(rc.started) < longest; round++ {
-		rc.note("round %d", round)
-		if err := loseDiskTwice(dp.cores[2]); err != nil {
+	if err := dp.replaceCore(2, 2*catchUp+beforeLoss); err != nil {
+		return false, err
+	}
+	time.Sleep(beforeLoss)
+	if trouble {
+		if err := dp.cores[0].loseDisk(); err != nil {
 			return false, err
 		}
-		if !dp.readsBack(acknowledged, recoverWait) {
-			break
-		}
-		time.Sleep(catchUp)
 	}
-	return !dp.readsBack(acknowledged, 30*time.Second), nil
+	time.Sleep(catchUp)
+	return !dp.readsBack(acknowledged, 2*recoverTime), nil
 }
 
-// loseDiskTwice makes a core machine lose its disk, come back, answer its first read, and lose its disk again.
-func loseDiskTwice(mc *machine) error {
-	if err := mc.loseDisk(); err != nil {
+// replaceCore starts an empty core machine at another address of the zone and, after a time, stops the one that it replaces for good.
+func (dp *deployment) replaceCore(at int, after time.Duration) error {
+	old := dp.cores[at]
+	successor := &machine{dp: dp, name: "core-" + old.zone + "-2", class: "core", zone: old.zone, ip: dp.ip(at, 2), seeds: old.seeds}
+	if err := successor.start(); err != nil {
 		return err
 	}
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		if status, _ := mc.readConfig(); status == http.StatusOK {
-			mc.dp.rc.note("%s answers a read for the first time since it lost its disk", mc.name)
-			break
-		}
+	dp.removed = append(dp.removed, old)
+	dp.cores[at] = successor
+	time.Sleep(after)
+	if status, _ := successor.readConfig(); status != http.StatusOK {
+		dp.rc.note("%s answers a read with %d", successor.name, status)
 	}
-	return mc.loseDisk()
+	old.signal(syscall.SIGTERM)
+	<-old.done
+	dp.rc.note("%s has ended for good", old.name)
+	return nil
 }
 
 // loseDisk kills the process of a core machine and starts it again a second later with an empty disk.
--- a/review/standin2/platform/standin2/deployment.go
+++ b/review/standin2/platform/standin2/deployment.go
@@ -59,6 +59,8 @@
 	octet  int
 	cores  []*machine
 	nodes  []*machine
+	// removed holds the machines that were replaced.
+	removed []*machine
 }
 
 // nodeSpec says where a node runs and beside which service.
@@ -265,7 +267,7 @@
 
 // stop kills all processes and removes the folder, unless KEEP is set.
 func (dp *deployment) stop() {
-	for _, mc := range append(append([]*machine{}, dp.cores...), dp.nodes...) {
+	for _, mc := range append(append(append([]*machine{}, dp.cores...), dp.nodes...), dp.removed...) {
 		if mc.cmd != nil && !mc.ended() {
 			// A stopped process has to be killed, too.
 			mc.kill()
--- a/review/standin2/platform/standin2/main.go
+++ b/review/standin2/platform/standin2/main.go
@@ -17,7 +17,7 @@
 
 // cases holds the cases by their number. A case returns whether the rule was broken.
 var cases = map[string]func(rc *record, trouble bool) (broken bool, err error){
-	"6":  secondDiskLoss,
+	"6":  diskLossAfterReplacement,
 	"7":  strayAnswer,
 	"8":  nestedRoute,
 	"9":  withdrawnKey,
