--- a/review/standin2/platform/standin2/deployment.go
+++ b/review/standin2/platform/standin2/deployment.go
@@ -12,8 +12,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/pelletier/go-toml/v2"
 )
 
 // Ports of each machine; every machine has a loopback address of its own.
@@ -24,13 +22,35 @@
 	portOutbound = 8548
 )
 
-// deployFile is what the stand-in for the platform needs of deploy/system.toml.
-type deployFile struct {
-	Roles map[string]struct {
-		Run      string `toml:"run"`
-		On       string `toml:"on"`
-		Template string `toml:"template"`
-	} `toml:"roles"`
+// role is what the stand-in for the platform needs of a role of deploy/system.toml.
+type role struct{ run, on, template string }
+
+// readRoles reads the roles of a deploy file: tables with one text a line, which is all that it holds.
+func readRoles(text string) map[string]*role {
+	roles := map[string]*role{}
+	var current *role
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		if name, ok := strings.CutPrefix(line, "[roles."); ok {
+			current = &role{}
+			roles[strings.TrimSuffix(name, "]")] = current
+			continue
+		}
+		key, val, found := strings.Cut(line, " = ")
+		if !found || current == nil {
+			continue
+		}
+		val = strings.Trim(val, `"`)
+		switch key {
+		case "run":
+			current.run = val
+		case "on":
+			current.on = val
+		case "template":
+			current.template = val
+		}
+	}
+	return roles
 }
 
 // machine is one machine of the deployment with its process.
@@ -54,7 +74,7 @@
 type deployment struct {
 	rc     *record
 	folder string
-	file   deployFile
+	roles  map[string]*role
 	zones  []string
 	octet  int
 	cores  []*machine
@@ -73,9 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := toml.Unmarshal(text, &dp.file); err != nil {
-		return nil, err
-	}
+	dp.roles = readRoles(string(text))
 	if dp.folder, err = os.MkdirTemp("", "review2-"); err != nil {
 		return nil, err
 	}
@@ -155,11 +173,11 @@
 func (mc *machine) start() error {
 	mc.mu.Lock()
 	defer mc.mu.Unlock()
-	for _, rl := range mc.dp.file.Roles {
-		if rl.On != mc.class {
+	for _, rl := range mc.dp.roles {
+		if rl.on != mc.class {
 			continue
 		}
-		text, err := os.ReadFile(rl.Template)
+		text, err := os.ReadFile(rl.template)
 		if err != nil {
 			return err
 		}
@@ -175,7 +193,7 @@
 		if err := os.WriteFile(path, []byte(filled), 0o600); err != nil {
 			return err
 		}
-		words := strings.Fields(rl.Run)
+		words := strings.Fields(rl.run)
 		args := make([]string, 0, len(words))
 		for _, word := range words[1:] {
 			args = append(args, render(word, fs))
