server, gossiper, platform: a drained process stays drained after a restart of its node

What callers saw: nothing.

Cause: that a process of an upstream drains for good was held by the node's process only, for deregistrations and draining heartbeats (platform) and for answers with Gypsumhoist-Draining (server). A new process took any announcement as news.

Change: the node spreads the boot of that process as a rumor, and recognizes it in later announcements, also when the rumor arrives after the announcement. Older builds pass the rumor on as any other; without it a node behaves as before.

Why it works: the rumor is in other processes before the acknowledgement, and a process that joins gets all rumors with the first answer.

--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -94,6 +94,24 @@
 
 // StartInstance starts one instance and its upstream.
 func (fl *Fleet) StartInstance(name gypsumhoist.Instance) error {
+	if err := fl.startServer(name, nil); err != nil {
+		return err
+	}
+	return fl.StartUpstream(name)
+}
+
+// RestartServer kills the server of a running instance and starts it again at once, while its upstream goes on.
+func (fl *Fleet) RestartServer(name gypsumhoist.Instance) error {
+	pr := fl.Process(name)
+	if pr == nil {
+		return fmt.Errorf("instance %s does not run", name)
+	}
+	pr.Server.Kill()
+	return fl.startServer(name, pr.Upstream)
+}
+
+// startServer starts the server of one instance beside an upstream, which may be nil.
+func (fl *Fleet) startServer(name gypsumhoist.Instance, up *Upstream) error {
 	at := slices.IndexFunc(fl.specs, func(sp InstanceSpec) bool { return sp.Settings.Instance == name })
 	if at < 0 {
 		return fmt.Errorf("fleet has no instance %q", name)
@@ -108,12 +126,12 @@
 	if fl.openFolder != nil {
 		opts = append(opts, server.WithDisk(func(path string) (journaler.Folder, error) { return fl.openFolder(name, path) }))
 	}
-	pr := &Process{Spec: sp, Boot: fl.boots, Server: server.New(sp.Settings, opts...)}
+	pr := &Process{Spec: sp, Boot: fl.boots, Server: server.New(sp.Settings, opts...), Upstream: up}
 	if err := pr.Server.Start(); err != nil {
 		return fmt.Errorf("instance %s: %w", name, err)
 	}
 	fl.setProcess(name, pr)
-	return fl.StartUpstream(name)
+	return nil
 }
 
 // StartUpstream starts the upstream of a running instance, also after a crash.
--- a/emulator/upstream.go
+++ b/emulator/upstream.go
@@ -188,6 +188,9 @@
 // SayDraining makes the upstream say in its answers that it drains, or no longer if on is false; its announcements stay as they are.
 func (up *Upstream) SayDraining(on bool) { up.saysDraining.Store(on) }
 
+// Boot returns the announced boot.
+func (up *Upstream) Boot() string { return up.boot }
+
 // Running returns the number of requests that run now.
 func (up *Upstream) Running() int { return int(up.running.Load()) }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -75,8 +75,14 @@
 	subscribers []func(*View)
 	// viewBuiltAt is when the last view was built; only run uses it.
 	viewBuiltAt time.Time
-	// spreadWaiters are closed once the instance's record has reached all neighbours; only run uses it.
-	spreadWaiters []chan struct{}
+	// spreadWaiters wait until what they have published has reached all neighbours; only run uses it.
+	spreadWaiters []spreadWaiter
+}
+
+// spreadWaiter is closed once every neighbour that answers has what was published.
+type spreadWaiter struct {
+	spread  chan struct{}
+	message Message
 }
 
 // envelope is a message to the core and what waits for its outcome.
@@ -84,7 +90,7 @@
 	message Message
 	// reply gets the answer to a Received.
 	reply chan Packet
-	// spread is closed once every neighbour that answers has the instance's record.
+	// spread is closed once every neighbour that answers has the instance's record, or the rumor that the message adds.
 	spread chan struct{}
 }
 
@@ -174,6 +180,15 @@
 	return nil
 }
 
+// ShareRumor spreads a rumor as SpreadRumor does, and returns once every neighbour that answers holds it, and at least one if there are others.
+// It may be called again after an error.
+func (gs *Gossiper) ShareRumor(ctx context.Context, rm Rumor) error {
+	if !rm.valid() {
+		return ErrInvalidRumor
+	}
+	return gs.publishAndWait(ctx, RumorAdded{Rumor: rm})
+}
+
 // Rumors returns the known rumors of a topic that have not expired, or of all topics for an empty one.
 func (gs *Gossiper) Rumors(topic string) []Rumor { return gs.rumors.Load().live(topic, time.Now()) }
 
@@ -204,7 +219,7 @@
 	return false
 }
 
-// publishAndWait hands the core a change of the instance's record and waits until every neighbour that answers has it.
+// publishAndWait hands the core a change of the instance's record, or a rumor, and waits until every neighbour that answers has it.
 func (gs *Gossiper) publishAndWait(ctx context.Context, msg Message) error {
 	spread := make(chan struct{})
 	if !gs.push(envelope{message: msg, spread: spread}) {
--- a/gossiper/link.go
+++ b/gossiper/link.go
@@ -69,6 +69,14 @@
 	return slices.Contains(ln.sent.members, in)
 }
 
+// hasPendingRumor reports whether a rumor is queued or awaits an acknowledgement.
+func (ln *link) hasPendingRumor(key rumorKey) bool {
+	if _, ok := ln.rumors[key]; ok {
+		return true
+	}
+	return slices.Contains(ln.sent.rumors, key)
+}
+
 // shouldSend reports whether the record of a member is sent over the link. A neighbour gets its own record
 // only where that says it is not alive, so that it can refute it.
 func (cr *Core) shouldSend(ln *link, mb *Member) bool {
@@ -279,8 +287,10 @@
 }
 
 // finish ends a packet; the contents of a lost one are queued again.
-func (ln *link) finish(ct *contents, lost bool) {
-	if lost {
+func (cr *Core) finish(ln *link, ct *contents, lost bool) {
+	if !lost {
+		cr.markShared(ln, ct)
+	} else {
 		for _, in := range ct.members {
 			ln.members[in] = struct{}{}
 		}
--- a/gossiper/loop.go
+++ b/gossiper/loop.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"slices"
 	"time"
 )
 
@@ -37,14 +38,23 @@
 		gs.perform(ac, env)
 	}
 	if env.spread != nil {
-		gs.spreadWaiters = append(gs.spreadWaiters, env.spread)
+		gs.spreadWaiters = append(gs.spreadWaiters, spreadWaiter{env.spread, env.message})
 	}
-	if len(gs.spreadWaiters) > 0 && gs.core.Spread() {
-		for _, ch := range gs.spreadWaiters {
-			close(ch)
+	gs.spreadWaiters = slices.DeleteFunc(gs.spreadWaiters, func(sw spreadWaiter) bool {
+		if !gs.hasSpread(sw.message) {
+			return false
 		}
-		gs.spreadWaiters = nil
+		close(sw.spread)
+		return true
+	})
+}
+
+// hasSpread reports whether every neighbour that answers has what a message has published.
+func (gs *Gossiper) hasSpread(msg Message) bool {
+	if ms, ok := msg.(RumorAdded); ok {
+		return gs.core.RumorShared(ms.Rumor.Topic, ms.Rumor.Key)
 	}
+	return gs.core.Spread()
 }
 
 func (gs *Gossiper) perform(ac Action, env envelope) {
--- a/gossiper/probe.go
+++ b/gossiper/probe.go
@@ -42,7 +42,7 @@
 	case rec == cr.self:
 		rec = nil
 	case ln != nil:
-		ln.finish(&ln.replied, pk.Seen != ln.replies)
+		cr.finish(ln, &ln.replied, pk.Seen != ln.replies)
 	case rec != nil:
 		ln = cr.newLink(rec, linkProber)
 	}
@@ -79,7 +79,7 @@
 		return
 	}
 	if ln := cl.link; ln != nil {
-		ln.finish(&ln.sent, false)
+		cr.finish(ln, &ln.sent, false)
 		ln.inFlight = false
 		ln.failing = false
 		ln.lastReply = pk.Reply
@@ -137,7 +137,7 @@
 	if ln == nil {
 		return
 	}
-	ln.finish(&ln.sent, true)
+	cr.finish(ln, &ln.sent, true)
 	ln.inFlight = false
 	ln.urgent = false
 	ln.failing = true
--- a/gossiper/rumor.go
+++ b/gossiper/rumor.go
@@ -18,6 +18,8 @@
 	rumor     Rumor
 	expiresAt time.Time
 	hash      uint64
+	// shared means that another instance holds the rumor.
+	shared bool
 }
 
 // remaining returns the rumor with the rest of its lifetime.
@@ -64,12 +66,14 @@
 		return
 	}
 	if old != nil && !rm.newer(&old.rumor) {
-		if ln := cr.links[from]; ln != nil && !old.rumor.newer(&rm) {
+		same := !old.rumor.newer(&rm)
+		old.shared = old.shared || same && from != ""
+		if ln := cr.links[from]; ln != nil && same {
 			delete(ln.rumors, key)
 		}
 		return
 	}
-	cr.rumors[key] = &rumorRecord{rumor: rm, expiresAt: cr.now.Add(rm.TTL), hash: rumorHash(&rm)}
+	cr.rumors[key] = &rumorRecord{rumor: rm, expiresAt: cr.now.Add(rm.TTL), hash: rumorHash(&rm), shared: from != ""}
 	cr.rumorsStale = true
 	for to, ln := range cr.links {
 		if to != from && ln.kind != linkWatcher {
@@ -79,6 +83,32 @@
 	}
 }
 
+// RumorShared reports whether every neighbour that answers holds the current version of a rumor, and at least one other instance does.
+// An instance that has neither neighbours nor seeds has nobody to share it with.
+func (cr *Core) RumorShared(topic, key string) bool {
+	rk := rumorKey{topic, key}
+	rr := cr.rumors[rk]
+	if rr == nil {
+		return false
+	}
+	for _, ln := range cr.links {
+		if !ln.failing && ln.hasPendingRumor(rk) {
+			return false
+		}
+	}
+	return rr.shared || len(cr.links)+len(cr.seeds) == 0
+}
+
+// markShared records that a neighbour has received the rumors of a packet. One that is queued again has a newer version.
+func (cr *Core) markShared(ln *link, ct *contents) {
+	for _, key := range ct.rumors {
+		_, queued := ln.rumors[key]
+		if rr := cr.rumors[key]; rr != nil && !queued {
+			rr.shared = true
+		}
+	}
+}
+
 func rumorHash(rm *Rumor) uint64 {
 	hs := fnv.New64a()
 	var buf [8]byte
--- a/server/embedding.go
+++ b/server/embedding.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/gypsumhoist/gypsumhoist"
@@ -45,6 +46,18 @@
 	}
 }
 
+// DrainUpstream records that the process of the local upstream with this boot drains for good: whatever it announces, it gets no new request,
+// also after a restart of the node. It returns once other instances know that; on an error it may be called again.
+// It does nothing without the node role.
+func (sv *Server) DrainUpstream(ctx context.Context, boot string) error {
+	if sv.node == nil {
+		return nil
+	}
+	sv.node.drained.add(boot)
+	sv.node.reapplyDrained()
+	return sv.node.drained.share(ctx)
+}
+
 // OperatorService returns the operators' service.
 func (sv *Server) OperatorService() *registrar.OperatorService { return sv.operatorService }
 
--- a/server/node.go
+++ b/server/node.go
@@ -27,6 +27,9 @@
 var eventUpstreamDrains = logger.Define(1033, logger.LevelInfo, "upstream_drains",
 	"An answer of this node's upstream says that the upstream drains; it gets no new requests, whatever it announces.")
 
+var eventDrainRemembered = logger.Define(1034, logger.LevelInfo, "upstream_drain_remembered",
+	"The upstream announced itself, but other instances know that this process of it drains, as before a restart of this node; it gets no new requests.")
+
 // maxRecords is the number of request records that a node keeps for explain.
 const maxRecords = 4096
 
@@ -56,6 +59,7 @@
 	// transport sends requests to the announced upstream; drains is set once that has said in an answer that it drains.
 	transport forwarder.Upstream
 	drains    bool
+	drained   drained
 	cold      coldLimit
 	// evacuated is set while the table in force evacuates this failure domain.
 	evacuated bool
@@ -64,6 +68,7 @@
 func newNode(sv *Server, holder *registrar.Holder) *node {
 	nd := &node{
 		sv: sv, holder: holder, records: explainer.New(maxRecords), watching: map[gypsumhoist.Service]bool{},
+		drained: drained{sv: sv},
 		router: router.New(sv.settings.FailureDomain, router.WithLogger(sv.logger),
 			router.WithMetrics(sv.metrics), router.WithRandom(sv.forkRandom()),
 			router.WithLoadReports(sv.settings.Routing.LoadReports), router.WithSpillover(spillover(sv.settings.Routing))),
@@ -146,6 +151,7 @@
 		nd.allocation.allocator.Start()
 	}
 	nd.announcer.Start()
+	nd.sv.tmb.Go(nd.drained.loop)
 }
 
 func (nd *node) stop() {
@@ -205,13 +211,17 @@
 		return
 	}
 	nd.drains = true
+	nd.drained.add(nd.announcement.Boot)
 	nd.sv.logger.Log(eventUpstreamDrains, "service", nd.announcement.Service, "boot", nd.announcement.Boot, "announced", nd.announcement.State)
 	nd.apply(nd.announcement)
 }
 
 // apply puts an announcement of the present upstream in force. It needs the mutex.
 func (nd *node) apply(an announcer.Announcement) {
-	if nd.drains && an.Service != "" {
+	if an.Service != "" && an.State != announcer.StateDraining && (nd.drains || nd.drained.includes(an.Boot)) {
+		if !nd.drains && (an.Boot != nd.announcement.Boot || nd.announcement.State != announcer.StateDraining) {
+			nd.sv.logger.Log(eventDrainRemembered, "service", an.Service, "boot", an.Boot, "announced", an.State)
+		}
 		an.State = announcer.StateDraining
 	}
 	nd.announcement = an
