replicator, server: a member that is gone does not vote beside its successor

Cause: the predecessor kept its vote for 6 s after it had left, beside its successor's; with one more disk lost, two of four votes were left, and without a majority nobody could remove the two dead ones. The same held between the promotion and the removal whenever a lost member was replaced, for a member that was found lost without a farewell while its successor voted already, and for an earlier identity of the leader.

Change: the leader takes the vote of a member that left, is about to stop or is unreachable as soon as another live member of its failure domain votes (replicator.ChangeDemote); one that comes back catches up and is promoted again. Replace removes an identity whose state is lost before it adds the new one, and any other lost member before it promotes the new one, once that has caught up. A member is promoted only while it answers. The leader removes earlier identities of any instance, its own included.

Why it works: a dead vote counts in the size of the majority and never towards it, so that the group is never worse off without it.

The random schedules of replicator demote members too.

--- a/replicator/change.go
+++ b/replicator/change.go
@@ -9,6 +9,7 @@
 const (
 	ChangeAdd     ChangeKind = "add"     // adds a new member as a learner
 	ChangePromote ChangeKind = "promote" // makes a learner that has caught up a voter
+	ChangeDemote  ChangeKind = "demote"  // makes a voter a learner
 	ChangeRemove  ChangeKind = "remove"  // removes a member for good
 )
 
@@ -30,12 +31,14 @@
 		return nil, "not a member"
 	case ch.Kind == ChangePromote && cf[at].Voter:
 		return nil, "already a voter"
-	case ch.Kind == ChangePromote:
+	case ch.Kind == ChangeDemote && !cf[at].Voter:
+		return nil, "not a voter"
+	case (ch.Kind == ChangeDemote || ch.Kind == ChangeRemove) && cf[at].Voter && cf.Voters() == 1:
+		return nil, "the only voter can't be demoted or removed"
+	case ch.Kind == ChangePromote || ch.Kind == ChangeDemote:
 		next := slices.Clone(cf)
-		next[at].Voter = true
+		next[at].Voter = ch.Kind == ChangePromote
 		return next, ""
-	case ch.Kind == ChangeRemove && cf[at].Voter && cf.Voters() == 1:
-		return nil, "the only voter can't be removed"
 	case ch.Kind == ChangeRemove:
 		return slices.Delete(slices.Clone(cf), at, at+1), ""
 	default:
--- a/replicator/configuration.go
+++ b/replicator/configuration.go
@@ -81,7 +81,7 @@
 // Change proposes a change of the configuration and returns the index of its entry.
 // Only a leader that has committed an entry of its term accepts changes, and only one at a time.
 func (co *Core) Change(now time.Time, ch Change) (uint64, error) {
-	if detail := co.changeRefusal(ch); detail != "" {
+	if detail := co.changeRefusal(now, ch); detail != "" {
 		return 0, &ErrChange{Change: ch, Detail: detail}
 	}
 	next, detail := ch.apply(co.config())
@@ -96,7 +96,7 @@
 	return en.Index, nil
 }
 
-func (co *Core) changeRefusal(ch Change) string {
+func (co *Core) changeRefusal(now time.Time, ch Change) string {
 	switch {
 	case !co.acceptsProposals():
 		return "this member is not the leader"
@@ -104,15 +104,17 @@
 		return "the leader has not committed an entry of its term yet"
 	case co.configs[len(co.configs)-1].index > co.commit:
 		return "another change is not committed yet"
-	case ch.Kind == ChangePromote && !co.caughtUp(ch.Member.ID()):
+	case ch.Kind == ChangePromote && !co.caughtUp(now, ch.Member.ID()):
 		return "not caught up yet"
+	case ch.Kind == ChangeDemote && ch.Member.ID() == co.self.ID():
+		return "the leader can't be demoted"
 	default:
 		return ""
 	}
 }
 
-// caughtUp reports whether a member holds all committed entries.
-func (co *Core) caughtUp(id MemberID) bool {
+// caughtUp reports whether a member holds all committed entries and still answers.
+func (co *Core) caughtUp(now time.Time, id MemberID) bool {
 	pg := co.lead.peer(id)
-	return pg != nil && pg.match >= co.commit
+	return pg != nil && pg.match >= co.commit && co.responsive(now, pg)
 }
--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -67,7 +67,7 @@
 			sim.start(nd)
 		}
 	case mp.Voter && sim.rnd.IntN(2) == 0:
-		_ = sim.change(ld, rp.ChangeRemove, mp.Member)
+		_ = sim.change(ld, []rp.ChangeKind{rp.ChangeRemove, rp.ChangeDemote}[sim.rnd.IntN(2)], mp.Member)
 	case !mp.Voter:
 		_ = sim.change(ld, rp.ChangePromote, mp.Member)
 	}
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -12,6 +12,7 @@
 	eventRemoved          = logger.Define(2202, logger.LevelInfo, "replicator_removed", "This member was removed from the group.")
 	eventJournalFailed    = logger.Define(2203, logger.LevelError, "replicator_journal_failed", "The member stopped because its journal failed or a snapshot could not be restored; check the disk, then restart the instance.")
 	eventSnapshotRestored = logger.Define(2204, logger.LevelInfo, "replicator_snapshot_restored", "The member lagged behind the leader's log and installed the leader's snapshot.")
+	eventConfiguration    = logger.Define(2206, logger.LevelInfo, "replicator_configuration", "A change of the group's members is committed; voters and learners are the members from now on.")
 	eventSendFailed       = logger.Define(2205, logger.LevelWarn, "replicator_send_failed", "Messages to a peer can't be delivered; only the first of consecutive failures is logged.")
 )
 
--- a/replicator/group.go
+++ b/replicator/group.go
@@ -107,6 +107,11 @@
 	return gp.change(ctx, Change{Kind: ChangePromote, Member: mb})
 }
 
+// Demote makes a voter other than the leader a learner, which may be promoted again. Errors are those of Propose and *ErrChange.
+func (gp *Group) Demote(ctx context.Context, mb Member) error {
+	return gp.change(ctx, Change{Kind: ChangeDemote, Member: mb})
+}
+
 // Remove removes a member for good. Errors are those of Propose and *ErrChange.
 func (gp *Group) Remove(ctx context.Context, mb Member) error {
 	return gp.change(ctx, Change{Kind: ChangeRemove, Member: mb})
--- a/replicator/group_output.go
+++ b/replicator/group_output.go
@@ -56,8 +56,12 @@
 func (gp *Group) apply(ens []Entry) {
 	for _, en := range ens {
 		var answer []byte
-		if en.Kind == KindCommand {
+		switch en.Kind {
+		case KindCommand:
 			answer = gp.stateMachine.Apply(en)
+		case KindConfiguration:
+			voters, learners := en.Configuration.ids()
+			gp.host.lg.Log(eventConfiguration, "group", gp.name, "index", en.Index, "voters", voters, "learners", learners)
 		}
 		gp.appliedIndex = en.Index
 		gp.bytesSinceSnapshot += en.size()
--- a/replicator/member.go
+++ b/replicator/member.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 
 	"github.com/gypsumhoist/gypsumhoist"
 )
@@ -62,6 +63,19 @@
 // Majority returns the number of voters that form a majority.
 func (cf Configuration) Majority() int { return cf.Voters()/2 + 1 }
 
+// ids returns the identities of the voters and of the learners, separated by commas.
+func (cf Configuration) ids() (voters, learners string) {
+	var lists [2][]string
+	for _, mp := range cf {
+		at := 1
+		if mp.Voter {
+			at = 0
+		}
+		lists[at] = append(lists[at], mp.Member.ID().String())
+	}
+	return strings.Join(lists[0], ","), strings.Join(lists[1], ",")
+}
+
 func (cf Configuration) index(id MemberID) int {
 	return slices.IndexFunc(cf, func(mp Membership) bool { return mp.Member.ID() == id })
 }
--- a/replicator/replacing.go
+++ b/replicator/replacing.go
@@ -3,21 +3,26 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
 const replaceRetry = 50 * time.Millisecond
 
-// Replace replaces one member by another: it adds the new one, promotes it once it has caught up,
-// and only then removes the old one. Steps that are already done are skipped, so that it may be
+// Replace replaces a member that is gone by another one. At no time do both vote: a vote that nobody casts any more counts against the majority.
+// An earlier identity of the same instance has lost its state, so that it is removed at once; any other member is removed once the new one
+// has caught up, which only the leader knows, and is then promoted. Steps that are already done are skipped, so that Replace may be
 // called again after an error. It retries until the context ends and then returns the context's error.
 func (gp *Group) Replace(ctx context.Context, old, next Member) error {
 	for {
-		ch, ok := nextReplaceStep(gp.Members(), old, next)
-		if !ok {
+		ch, done := nextReplaceStep(gp.Status(), old, next)
+		if done {
 			return nil
 		}
-		err := gp.change(ctx, ch)
+		var err error
+		if ch != (Change{}) {
+			err = gp.change(ctx, ch)
+		}
 		var unknown *ErrUnknownOutcome
 		var refused *ErrChange
 		var noLeader *ErrNoLeader
@@ -32,17 +37,26 @@
 	}
 }
 
-// nextReplaceStep returns the next change; false means that all are done.
-func nextReplaceStep(cf Configuration, old, next Member) (Change, bool) {
-	mp, ok := cf.Find(next.ID())
+// nextReplaceStep returns the next change, or the zero value while the new member catches up; done means that all are made.
+func nextReplaceStep(su Status, old, next Member) (ch Change, done bool) {
+	cf := su.Configuration
+	mp, isMember := cf.Find(next.ID())
+	hasOld := cf.index(old.ID()) >= 0
 	switch {
-	case !ok:
-		return Change{Kind: ChangeAdd, Member: next}, true
+	case hasOld && (old.Instance == next.Instance || mp.Voter || su.caughtUp(next.ID())):
+		return Change{Kind: ChangeRemove, Member: old}, false
+	case !isMember:
+		return Change{Kind: ChangeAdd, Member: next}, false
+	case hasOld:
+		return Change{}, false
 	case !mp.Voter:
-		return Change{Kind: ChangePromote, Member: next}, true
-	case cf.index(old.ID()) >= 0:
-		return Change{Kind: ChangeRemove, Member: old}, true
+		return Change{Kind: ChangePromote, Member: next}, false
 	default:
-		return Change{}, false
+		return Change{}, true
 	}
 }
+
+// caughtUp reports whether the leader has found that a member holds all committed entries.
+func (su Status) caughtUp(id MemberID) bool {
+	return slices.ContainsFunc(su.Peers, func(ps PeerStatus) bool { return ps.Member.ID() == id && ps.CaughtUp })
+}
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -25,7 +25,7 @@
 	Match  uint64
 	// Answered is the time at which the newest heartbeat that it acknowledged was sent; the zero time means never.
 	Answered time.Time
-	// CaughtUp means that it holds all committed entries.
+	// CaughtUp means that it holds all committed entries and still answers.
 	CaughtUp bool
 }
 
@@ -43,7 +43,7 @@
 		if pg == nil {
 			continue
 		}
-		ps := PeerStatus{Member: mp.Member, Voter: mp.Voter, Match: pg.match, CaughtUp: pg.match >= co.commit}
+		ps := PeerStatus{Member: mp.Member, Voter: mp.Voter, Match: pg.match, CaughtUp: co.caughtUp(now, mp.Member.ID())}
 		if pg.answered {
 			ps.Answered = co.start.Add(pg.ackedSent)
 		}
--- a/server/control.go
+++ b/server/control.go
@@ -40,6 +40,10 @@
 		"A control instance replaced its own earlier identity, whose disk was lost, or a lost instance of its failure domain in the table's log.")
 	eventMemberRemoved = logger.Define(1025, logger.LevelWarn, "control_seat_taken",
 		"A control instance that left and did not come back was removed from the table's log, as another instance of its failure domain votes.")
+	eventDemoted = logger.Define(1026, logger.LevelInfo, "control_vote_dropped",
+		"A control instance that left, is about to stop or is unreachable has no vote in the table's log for now, as another instance of its failure domain votes.")
+	eventChangeFailed = logger.Define(1027, logger.LevelInfo, "control_change_failed",
+		"A control instance could not be given its place in the table's log yet; that is tried again when it introduces itself again.")
 	eventReopened = logger.Define(1024, logger.LevelWarn, "control_reopened",
 		"The failed journal of the table's log was reopened; if err is set, the attempt failed and is repeated.")
 )
@@ -289,15 +293,19 @@
 	step, old := joinState{
 		config: gp.Members(), member: mb, gossipMember: ct.gossipMember, waited: ct.introductions.waited(mb, time.Now()),
 	}.next()
+	var err error
 	switch step {
 	case joinReplace:
-		if gp.Replace(ctx, old, mb) == nil {
+		if err = gp.Replace(ctx, old, mb); err == nil {
 			ct.sv.logger.Log(eventReplaced, "member", mb.Instance, "boot", mb.Boot, "old", old.Instance)
 		}
 	case joinAdd:
-		_ = gp.Add(ctx, mb)
+		err = gp.Add(ctx, mb)
 	case joinPromote:
-		_ = gp.Promote(ctx, mb)
+		err = gp.Promote(ctx, mb)
+	}
+	if err != nil {
+		ct.sv.logger.Log(eventChangeFailed, "member", mb.Instance, "boot", mb.Boot, "err", err)
 	}
 }
 
@@ -324,12 +332,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ct.sv.tmb.Context(nil), reconcileTimeout)
 	defer cancel()
+	ct.dropVotes(ctx, gp)
 	if mb, ok := ct.departures.removable(gp.Members(), ct.gossipMember, time.Now()); ok && gp.Remove(ctx, mb) == nil {
 		ct.sv.logger.Log(eventMemberRemoved, "member", mb.Instance, "boot", mb.Boot)
 	}
 	listed := ct.holder.Current().Controls()
 	for _, ms := range gp.Members() {
-		mb, known := ct.sv.gossiper.View().Member(ms.Member.Instance)
+		mb, known := ct.gossipMember(ms.Member.Instance)
 		want := registrar.ControlMember{Instance: ms.Member.Instance, Domain: mb.Domain, Peer: ms.Member.Peer, Voter: ms.Voter}
 		if known && !slices.Contains(listed, want) {
 			ct.propose(ctx, registrar.SetControl{Member: want})
@@ -343,6 +352,16 @@
 	}
 }
 
+// dropVotes takes the votes of members that are gone and have a successor, which would count against the majority.
+func (ct *control) dropVotes(ctx context.Context, gp *replicator.Group) {
+	if mb, ok := replacedIdentity(gp.Members()); ok && gp.Remove(ctx, mb) == nil {
+		ct.sv.logger.Log(eventReplaced, "member", mb.Instance, "old", mb.Instance, "old_boot", mb.Boot)
+	}
+	if mb, ok := spareVoter(gp.Members(), gp.Self().ID(), ct.gossipMember); ok && gp.Demote(ctx, mb) == nil {
+		ct.sv.logger.Log(eventDemoted, "member", mb.Instance, "boot", mb.Boot)
+	}
+}
+
 // propose proposes one change of the list of control instances; failures are retried at the next tick.
 func (ct *control) propose(ctx context.Context, cmd registrar.Command) {
 	id := registrar.EditID("control/" + rand.Text())
--- a/server/lost_disk_test.go
+++ b/server/lost_disk_test.go
@@ -72,3 +72,72 @@
 		Expect(tf.revision(0)).To(Equal(tf.revision(1)))
 	}))
 })
+
+// Guards against a member of the table's log that is gone and keeps its vote beside its successor's: with one more disk lost, two of four
+// votes were left, and nobody could change that (docs/incidents/dead-vote.md).
+var _ = ginkgo.Describe("the table's log", func() {
+	accepts := func(tf *testFleet, at int) {
+		rq := &registrarpb.EditRowRequest{
+			Workspace: "school", Route: "/fees", EditId: "after", WaitMs: 0,
+			Values: map[string]string{"service": "slips", "rate": "5", "burst": "5"},
+		}
+		rs, err := tf.fleet.OperatorClient(tf.client, tf.fleet.Names()[at]).EditRow(context.Background(), connect.NewRequest(rq))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rs.Msg.GetOutcome()).To(Equal(registrarpb.Outcome_OUTCOME_ACCEPTED))
+	}
+	// loseDiskFor kills an instance, and starts it a second later without its disk.
+	loseDiskFor := func(tf *testFleet, at int) {
+		tf.fleet.Kill(tf.fleet.Names()[at])
+		loseDisk(&tf.fleet.InstanceSpecs()[at])
+		tf.fleet.InstanceSpecs()[at].Settings.Peers.Seeds = tf.fleet.InstanceSpecs()[2].Settings.Peers.Seeds
+		time.Sleep(time.Second)
+		Expect(tf.fleet.StartInstance(tf.fleet.Names()[at])).To(Succeed())
+	}
+
+	ginkgo.It("survives that a disk is lost 2 s after another control instance was replaced as planned", inSeededFleet(func(tf *testFleet) {
+		names := tf.fleet.Names()
+		Expect(tf.fleet.StartInstance(names[3])).To(Succeed())
+		time.Sleep(10 * time.Second)
+		Expect(tf.voters(1)).To(ConsistOf(names[0], names[1], names[2], names[3]))
+		Expect(tf.fleet.Stop(context.Background(), names[0])).To(Succeed())
+		time.Sleep(2 * time.Second)
+		loseDiskFor(tf, 1)
+		time.Sleep(5 * time.Second)
+		accepts(tf, 2)
+		Expect(tf.voters(2)).To(ContainElements(names[1], names[2], names[3]))
+	}))
+
+	ginkgo.It("survives that a disk is lost 4 s after another control instance with a successor was found lost", inSeededFleet(func(tf *testFleet) {
+		names := tf.fleet.Names()
+		Expect(tf.fleet.StartInstance(names[3])).To(Succeed())
+		time.Sleep(10 * time.Second)
+		tf.fleet.Kill(names[0])
+		time.Sleep(4 * time.Second)
+		loseDiskFor(tf, 1)
+		time.Sleep(5 * time.Second)
+		accepts(tf, 2)
+	}))
+
+	ginkgo.It("gives a control instance its vote again that was restarted beside another one of its failure domain", inSeededFleet(func(tf *testFleet) {
+		names := tf.fleet.Names()
+		Expect(tf.fleet.StartInstance(names[3])).To(Succeed())
+		time.Sleep(10 * time.Second)
+		Expect(tf.fleet.Stop(context.Background(), names[0])).To(Succeed())
+		time.Sleep(1500 * time.Millisecond)
+		Expect(tf.voters(1)).To(ConsistOf(names[1], names[2], names[3]))
+		Expect(tf.fleet.StartInstance(names[0])).To(Succeed())
+		time.Sleep(8 * time.Second)
+		Expect(tf.voters(1)).To(ConsistOf(names[0], names[1], names[2], names[3]))
+	}))
+
+	ginkgo.It("survives that one machine loses its disk twice within a second, and another one its own soon after", inSeededFleet(func(tf *testFleet) {
+		loseDiskFor(tf, 0)
+		time.Sleep(30 * time.Millisecond)
+		loseDiskFor(tf, 0)
+		time.Sleep(2 * time.Second)
+		loseDiskFor(tf, 1)
+		time.Sleep(5 * time.Second)
+		accepts(tf, 2)
+		Expect(tf.voters(2)).To(ConsistOf(tf.fleet.Names()[:3]))
+	}))
+})
--- a/server/membership.go
+++ b/server/membership.go
@@ -108,6 +108,41 @@
 // removeDelay is how long a control instance must have left before it is removed; a restart takes less.
 const removeDelay = 6 * time.Second
 
+// spareVoter returns a voter that need not vote: it is gone or about to stop, while a live member of its failure domain votes,
+// as after a planned replacement. Its vote would count against the majority. One that comes back gets its vote again.
+func spareVoter(
+	cfg replicator.Configuration, self replicator.MemberID, find func(gypsumhoist.Instance) (gossiper.Member, bool),
+) (replicator.Member, bool) {
+	for _, ms := range cfg {
+		mb, known := find(ms.Member.Instance)
+		gone := known && (mb.Leaving || mb.Status >= gossiper.StatusUnreachable)
+		if gone && ms.Voter && ms.Member.ID() != self && hasSuccessor(cfg, ms.Member, find) {
+			return ms.Member, true
+		}
+	}
+	return replicator.Member{}, false
+}
+
+// hasSuccessor reports whether another member of the same failure domain votes that is alive and stays.
+func hasSuccessor(cfg replicator.Configuration, mb replicator.Member, find func(gypsumhoist.Instance) (gossiper.Member, bool)) bool {
+	_, found := joinState{
+		config: cfg, member: mb, gossipMember: find,
+	}.domainMember(func(other replicator.Membership, on gossiper.Member) bool {
+		return other.Voter && on.Status == gossiper.StatusAlive && !on.Leaving
+	})
+	return found
+}
+
+// replacedIdentity returns a member whose instance is a member again under a later identity: its state is lost.
+func replacedIdentity(cfg replicator.Configuration) (replicator.Member, bool) {
+	for ix, ms := range cfg {
+		if _, again := earlierIdentity(cfg[ix+1:], ms.Member); again {
+			return ms.Member, true
+		}
+	}
+	return replicator.Member{}, false
+}
+
 // departures holds when members were first seen to have left.
 type departures map[replicator.MemberID]time.Time
 
@@ -125,12 +160,7 @@
 		if _, recorded := dp[ms.Member.ID()]; !recorded {
 			dp[ms.Member.ID()] = now
 		}
-		_, hasSuccessor := joinState{
-			config: cfg, member: ms.Member, gossipMember: find,
-		}.domainMember(func(other replicator.Membership, on gossiper.Member) bool {
-			return other.Voter && on.Status == gossiper.StatusAlive
-		})
-		if hasSuccessor && now.Sub(dp[ms.Member.ID()]) >= removeDelay {
+		if hasSuccessor(cfg, ms.Member, find) && now.Sub(dp[ms.Member.ID()]) >= removeDelay {
 			return ms.Member, true
 		}
 	}
