--- a/review/standin3/platform/standin3/main.go
+++ b/review/standin3/platform/standin3/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -65,7 +67,16 @@
 		return exitNotRun
 	}
 	defer cl.stop()
-	vd := cases[os.Args[1]](cl, trouble)
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	done := make(chan verdict, 1)
+	go func() { done <- cases[os.Args[1]](cl, trouble) }()
+	var vd verdict
+	select {
+	case vd = <-done:
+	case got := <-sig:
+		vd = notRun("ended by %v", got)
+	}
 	rec.note("result %d: %s", vd.code, vd.text)
 	fmt.Println(vd.text)
 	return vd.code
