review: case 15 is now an added route that takes another route's requests

A route is added below another one. Requests whose path begins with the old route's prefix only, as its next segment holds an encoded slash, run at the service of the added route (ROUTE): the route is chosen by the decoded path.

--- a/review/standin3/platform/standin3/backend.go
+++ b/review/standin3/platform/standin3/backend.go
@@ -104,7 +104,7 @@
 		be.running--
 		be.mu.Unlock()
 	}()
-	be.mc.cl.rec.note("backend %s: begins to run %s", be.id, id)
+	be.mc.cl.rec.note("backend %s of %s: begins to run %s, %s %s", be.id, be.mc.service, id, req.Method, req.RequestURI)
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		be.mc.cl.rec.note("backend %s: %s: its body broke off: %v", be.id, id, err)
--- a/review/standin3/platform/standin3/main.go
+++ b/review/standin3/platform/standin3/main.go
@@ -40,6 +40,7 @@
 	"first-kill":  firstKill,
 	"first-loss":  firstLoss,
 	"silent-work": silentWork,
+	"added-route": addedRoute,
 	"piped-stop":  pipedStop,
 	"piped-break": pipedBreak,
 }
