--- a/review/standin3/platform/standin3/piped_stop.go
+++ b/review/standin3/platform/standin3/piped_stop.go
@@ -11,7 +11,7 @@
 // Times of the case about requests on one connection.
 const (
 	pipedTimeout = 5 // seconds: the route's timeoutS and the client's deadline
-	pipedWork    = 3 * time.Second
+	pipedWork    = 3500 * time.Millisecond
 	pipedCount   = 4
 	pipedTerm    = 500 * time.Millisecond // from the requests to the SIGTERM
 )
