allocator: the share that a keeper counts is logged

The events of keepers said which node reports to whom, but not for how many nodes a keeper fills its buckets. Event 1756 does; the shares of all keepers should never exceed 1 together. It tells two keepers of one share from a change of limits.

No change of a decision.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -45,6 +45,9 @@
 		"This failure domain lends its share of centralized rows to their home, another failure domain.")
 	eventShareTakenBack = logger.Define(1755, logger.LevelWarn, "rate_part_taken_back",
 		"The home of centralized rows does not answer; this failure domain limits itself to its own share of them until it does.")
+	eventKeeperShare = logger.Define(1756, logger.LevelInfo, "rate_share_kept",
+		"The share of all rates that a node keeps for its failure domain has changed, as it counts other nodes. The shares of all nodes "+
+			"together should not exceed 1.")
 	eventStandbyEnded = logger.Define(1753, logger.LevelInfo, "rate_standby_ended",
 		"A keeper of rates answers again; this node no longer limits itself to its equal share.")
 )
@@ -88,11 +91,14 @@
 	homeDomains []gypsumhoist.FailureDomain
 	nextLend    time.Time
 	// lending is true for the homes to which the domain lends its share.
-	lending       map[gypsumhoist.FailureDomain]bool
-	members       map[gypsumhoist.FailureDomain][]Member // of each domain, in keeper order
-	limits        map[Key]Limit
-	avoidUntil    map[gypsumhoist.Instance]time.Time
-	lastKeeper    gypsumhoist.Instance
+	lending    map[gypsumhoist.FailureDomain]bool
+	members    map[gypsumhoist.FailureDomain][]Member // of each domain, in keeper order
+	limits     map[Key]Limit
+	avoidUntil map[gypsumhoist.Instance]time.Time
+	lastKeeper gypsumhoist.Instance
+	// loggedShare is the share that the last event of this node's keeper reported, at loggedShareAt.
+	loggedShare   float64
+	loggedShareAt time.Time
 	grantsArrived chan struct{} // closed and replaced whenever grants arrive
 	// nextFetch is the earliest time at which a request without a token may trigger another fetch from other domains.
 	nextFetch time.Time
--- a/allocator/call.go
+++ b/allocator/call.go
@@ -64,6 +64,7 @@
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	grants := al.keeper.Report(clocker.Now(), node, reports)
+	al.logShare()
 	if now := time.Now(); al.keeper.HasUnmetDemand() && !now.Before(al.nextFetch) {
 		al.nextFetch = now.Add(fetchPause)
 		signal(al.fetchNow)
@@ -71,6 +72,27 @@
 	return grants
 }
 
+// shareLogInterval is the minimum time between two log events about the share that this node's keeper counts.
+const shareLogInterval = 100 * time.Millisecond
+
+// reportShare calls logShare for a keeper that may have received no report for a while.
+func (al *Allocator) reportShare() {
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	al.logShare()
+}
+
+// logShare logs the share of all rates that this node's keeper counts if it has changed. The caller holds the lock.
+func (al *Allocator) logShare() {
+	now := clocker.Now()
+	share := al.keeper.Share(now)
+	if share == al.loggedShare || now.Sub(al.loggedShareAt) < shareLogInterval {
+		return
+	}
+	al.log.Log(eventKeeperShare, "before", al.loggedShare, "share", share, "nodes", al.nodes.Load())
+	al.loggedShare, al.loggedShareAt = share, now
+}
+
 // Minimum time between two fetches from other domains triggered by requests, the second after a fetch that returned no tokens.
 const (
 	fetchPause      = 20 * time.Millisecond
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -38,6 +38,7 @@
 			}
 			al.lend()
 			al.fetch()
+			al.reportShare()
 			if now.Sub(reported) < reportInterval {
 				continue
 			}
