--- a/allocator/fleet_test.go
+++ b/allocator/fleet_test.go
@@ -42,6 +42,8 @@
 	al   *allocator.Allocator
 	h    http.Handler
 	down bool
+	// slow is how much later the member runs the calls that it receives.
+	slow time.Duration
 }
 
 var errPartitioned = errors.New("simulated network: member unreachable")
@@ -146,18 +148,21 @@
 		<-rq.Context().Done()
 		return nil, errPartitioned
 	}
-	rec := httptest.NewRecorder()
-	in := rq.Clone(rq.Context())
+	in := rq.Clone(context.WithoutCancel(rq.Context()))
 	in.RequestURI = rq.URL.RequestURI()
-	to.h.ServeHTTP(rec, in)
+	rs, err := to.handle(rq, func() *http.Response {
+		rec := httptest.NewRecorder()
+		to.h.ServeHTTP(rec, in)
+		rs := rec.Result()
+		rs.Body = io.NopCloser(rec.Body)
+		return rs
+	})
 	time.Sleep(delay)
-	if mb.fl.unreachable(mb, to) {
+	if err == nil && mb.fl.unreachable(mb, to) {
 		<-rq.Context().Done()
 		return nil, errPartitioned
 	}
-	rs := rec.Result()
-	rs.Body = io.NopCloser(rec.Body)
-	return rs, nil
+	return rs, err
 }
 
 func (fl *fleet) find(host string) *member {
