allocator: a share of the rates is counted by one keeper at a time

Callers saw nothing; a workspace got more than its rate and burst over the fleet. A node whose report got no answer within 300 ms went over to the next candidate, while the first keeper counted its share for up to 1.9 s more, from whenever it read the report. Both filled buckets with the share, the second one also for the time before (its bucket filled since its first report, with the share it had now), and each could hold the domain's whole burst. A busy keeper is enough.

Each answer of a keeper now carries a stamp of its clock, and the report that returns it brings the share, which counts until a fixed time after the stamp was issued. So the node knows when it has ended, however late the report is read, and gives its share to another keeper only then, or once the last one has confirmed a release. Loans between domains work the same way. Buckets fill by the integral of the share counted and hold that share of the burst. Older builds send and return no stamps, and count as before.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -24,7 +24,7 @@
 const (
 	fetchInterval      = 80 * time.Millisecond  // between two checks of a keeper for deficits of its domain
 	reportInterval     = 240 * time.Millisecond // between two reports of a node whose rows receive requests
-	idleReportInterval = 700 * time.Millisecond // of a node whose rows receive none; contactTimeout allows for several lost reports
+	idleReportInterval = 300 * time.Millisecond // of a node whose rows receive none; its share counts for shareHold
 	reportPause        = 8 * time.Millisecond   // minimum time between two reports triggered by requests
 	reportTimeout      = 300 * time.Millisecond
 	tokenWait          = 35 * time.Millisecond // how long a request waits for a token
@@ -86,7 +86,9 @@
 
 	mu     sync.Mutex
 	keeper *Keeper
-	home   *Home
+	// assignment is that of the node's share of all rates.
+	assignment assignment
+	home       *Home
 	// homeDomains are the failure domains that can be the home of rows.
 	homeDomains []gypsumhoist.FailureDomain
 	nextLend    time.Time
@@ -134,7 +136,8 @@
 	started := clocker.Now()
 	al := &Allocator{
 		self: self, domain: domain, started: started, reportNow: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1),
-		keeper: NewKeeper(domain), home: NewHome(), lending: map[gypsumhoist.FailureDomain]bool{}, limits: map[Key]Limit{},
+		assignment: assignment{hold: shareHold, maxAge: shareHold},
+		keeper:     NewKeeper(domain), home: NewHome(), lending: map[gypsumhoist.FailureDomain]bool{}, limits: map[Key]Limit{},
 		avoidUntil:    map[gypsumhoist.Instance]time.Time{},
 		grantsArrived: make(chan struct{}), taken: &metrics.Counter{}, refused: &metrics.Counter{},
 		draws: &metrics.Counter{}, drawsUnavailable: &metrics.Counter{},
@@ -189,7 +192,7 @@
 	defer al.mu.Unlock()
 	al.members = domains
 	al.nodes.Store(int64(max(len(own), 1) * al.domainCount()))
-	al.keeper.SetMembers(own, al.domainCount())
+	al.keeper.SetMembers(clocker.Now(), own, al.domainCount())
 	al.assignHomes()
 }
 
@@ -258,7 +261,13 @@
 
 func (al *Allocator) spendParams(rw *registrar.Row) spendParams {
 	now, lm := al.now(), limitOf(rw)
-	return spendParams{now: now, rate: lm.Rate, burst: lm.Burst, nodes: float64(al.nodes.Load()), hasLease: al.hasLease(now)}
+	sp := spendParams{now: now, rate: lm.Rate, burst: lm.Burst, nodes: float64(al.nodes.Load()), hasLease: al.hasLease(now)}
+	if !sp.hasLease {
+		al.mu.Lock()
+		defer al.mu.Unlock()
+		sp.assigned = al.assignment.assigned(clocker.Now())
+	}
+	return sp
 }
 
 // now returns the time since New, including time for which the machine was suspended.
--- /dev/null
+++ b/allocator/assignment_test.go
@@ -0,0 +1,96 @@
+package allocator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/gypsumhoist/gypsumhoist"
+)
+
+// Guards against a share that two holders count at the same time, however late or often messages arrive, whichever answers are lost.
+func TestShareHasOneHolder(t *testing.T) {
+	for seed := range uint64(60) {
+		checkOneHolder(t, seed)
+	}
+}
+
+// delivery is a message on its way to a holder, or back.
+type delivery struct {
+	at     time.Time
+	holder int
+	answer bool
+	stamp  Stamp
+}
+
+// checkOneHolder lets a sender move its share between three holders at random.
+func checkOneHolder(t *testing.T, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	start := time.Unix(0, 0)
+	as := &assignment{hold: shareHold, maxAge: shareHold}
+	var clocks [3]stampClock
+	var until [3]time.Time
+	var way []delivery
+	counted, to := 0, 0
+	delay := func() time.Duration {
+		if rnd.IntN(4) == 0 {
+			return time.Duration(rnd.IntN(4000)) * time.Millisecond
+		}
+		return time.Duration(rnd.IntN(100)) * time.Millisecond
+	}
+	for now := start; now.Before(start.Add(2 * time.Minute)); now = now.Add(10 * time.Millisecond) {
+		kept := way[:0:0]
+		for _, dl := range way {
+			switch {
+			case now.Before(dl.at):
+				kept = append(kept, dl)
+			case dl.answer:
+				as.answered(now, name(dl.holder), dl.stamp)
+			default:
+				end := share{known: true, stamp: dl.stamp}.until(now, &clocks[dl.holder], shareHold, legacyShareHold)
+				if dl.stamp == 0 || end.After(until[dl.holder]) {
+					until[dl.holder] = end
+				}
+				if rnd.IntN(5) > 0 {
+					kept = append(kept, delivery{now.Add(delay()), dl.holder, true, clocks[dl.holder].issue(now)})
+				}
+			}
+		}
+		way = kept
+		if rnd.IntN(100) == 0 {
+			to = rnd.IntN(3)
+		}
+		if rnd.IntN(15) == 0 {
+			stamp, _ := as.assign(now, name(to))
+			way = append(way, delivery{now.Add(delay()), to, false, stamp})
+		}
+		holders := 0
+		for _, end := range until {
+			if now.Before(end) {
+				holders++
+			}
+		}
+		if counted += holders; holders > 1 {
+			t.Fatalf("seed %d: %d holders after %v", seed, holders, now.Sub(start))
+		}
+	}
+	if counted == 0 {
+		t.Fatalf("seed %d: nobody ever counted the share", seed)
+	}
+}
+
+func name(holder int) gypsumhoist.Instance { return gypsumhoist.Instance(fmt.Sprint("k", holder)) }
+
+func TestStampOfAnotherProcessIsNotRecognised(t *testing.T) {
+	now := time.Unix(0, 0)
+	var before, after stampClock
+	st := before.issue(now)
+	after.issue(now.Add(time.Second))
+	if at, ok := after.issuedAt(now.Add(time.Hour), st); ok {
+		t.Fatalf("a stamp of another process counts as one of %v", at)
+	}
+	if at, ok := before.issuedAt(now.Add(time.Hour), st); !ok || !at.Equal(now) {
+		t.Fatalf("the own stamp counts as one of %v, %v", at, ok)
+	}
+}
--- a/allocator/call.go
+++ b/allocator/call.go
@@ -41,8 +41,8 @@
 			Waiting: int64(wl.GetWaiting()), Demand: int64(wl.GetDemand()),
 		})
 	}
-	grants := sv.al.handleReport(gypsumhoist.Instance(rq.Msg.GetInstance()), reports)
-	return connect.NewResponse(&allocatorpb.ReportAnswer{Grants: toWire(grants)}), nil
+	grants, stamp := sv.al.handleReport(gypsumhoist.Instance(rq.Msg.GetInstance()), shareOf(rq.Msg.Echo), reports)
+	return connect.NewResponse(&allocatorpb.ReportAnswer{Grants: toWire(grants), Stamp: uint64(stamp)}), nil
 }
 
 // Give transfers tokens to the keeper of another domain.
@@ -60,16 +60,24 @@
 }
 
 // handleReport applies the report of a node to this node's keeper.
-func (al *Allocator) handleReport(node gypsumhoist.Instance, reports []RowReport) []Grant {
+func (al *Allocator) handleReport(node gypsumhoist.Instance, sh share, reports []RowReport) ([]Grant, Stamp) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
-	grants := al.keeper.Report(clocker.Now(), node, reports)
+	grants, stamp := al.keeper.Report(clocker.Now(), node, sh, reports)
 	al.logShare()
 	if now := time.Now(); al.keeper.HasUnmetDemand() && !now.Before(al.nextFetch) {
 		al.nextFetch = now.Add(fetchPause)
 		signal(al.fetchNow)
 	}
-	return grants
+	return grants, stamp
+}
+
+// shareOf returns what a message with an echo, or without one, says about its sender's share.
+func shareOf(echo *uint64) share {
+	if echo == nil {
+		return share{}
+	}
+	return share{known: true, stamp: Stamp(*echo)}
 }
 
 // shareLogInterval is the minimum time between two log events about the share that this node's keeper counts.
@@ -99,12 +107,30 @@
 	emptyFetchPause = 60 * time.Millisecond
 )
 
-// reportTo sends a report to one keeper, which may be this node itself.
+// reportTo sends a report to one keeper, which may be this node itself, with the node's share if that keeper may have it.
 func (al *Allocator) reportTo(mb Member, reports []RowReport) ([]Grant, error) {
+	al.mu.Lock()
+	stamp, _ := al.assignment.assign(clocker.Now(), mb.Instance)
+	al.mu.Unlock()
+	grants, answer, err := al.exchangeReport(mb, share{known: true, stamp: stamp}, reports)
+	al.mu.Lock()
+	defer al.mu.Unlock()
+	if err != nil {
+		al.assignment.failed(mb.Instance)
+		return nil, err
+	}
+	al.assignment.answered(clocker.Now(), mb.Instance, answer)
+	return grants, nil
+}
+
+// exchangeReport sends a report and returns the grants and the stamp of the answer.
+func (al *Allocator) exchangeReport(mb Member, sh share, reports []RowReport) ([]Grant, Stamp, error) {
 	if mb.Instance == al.self {
-		return al.handleReport(al.self, reports), nil
+		grants, stamp := al.handleReport(al.self, sh, reports)
+		return grants, stamp, nil
 	}
-	rq := &allocatorpb.ReportRequest{Instance: string(al.self)}
+	echo := uint64(sh.stamp)
+	rq := &allocatorpb.ReportRequest{Instance: string(al.self), Echo: &echo}
 	for _, rr := range reports {
 		rq.Lines = append(rq.Lines, &allocatorpb.Line{
 			Workspace: string(rr.Key.Workspace), Route: rr.Key.Route,
@@ -116,15 +142,15 @@
 	defer cancel()
 	rs, err := al.clients.To(mb.Peer).Report(ctx, connect.NewRequest(rq))
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return fromWire(rs.Msg.GetGrants()), nil
+	return fromWire(rs.Msg.GetGrants()), Stamp(rs.Msg.GetStamp()), nil
 }
 
-// fetch requests the tokens that the domain lacks from other domains, if this node is the domain's keeper.
+// fetch requests the tokens that the domain lacks from other domains, if this node is the domain's keeper, or nodes have gone over to it.
 func (al *Allocator) fetch() {
 	al.mu.Lock()
-	if !al.isKeeper() {
+	if !al.isKeeper() && !al.keeper.HasUnmetDemand() {
 		al.mu.Unlock()
 		return
 	}
--- a/allocator/draw.go
+++ b/allocator/draw.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -132,16 +133,17 @@
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	now := clocker.Now()
-	al.home.Borrow(now, al.keeper.Share(now), gypsumhoist.FailureDomain(rq.Msg.GetFailureDomain()), rq.Msg.GetPart())
-	return connect.NewResponse(&allocatorpb.LendAnswer{}), nil
+	lender := cmp.Or(rq.Msg.GetLender(), rq.Msg.GetFailureDomain())
+	stamp := al.home.Borrow(now, al.keeper.Share(now), gypsumhoist.Instance(lender), shareOf(rq.Msg.Echo), rq.Msg.GetPart())
+	return connect.NewResponse(&allocatorpb.LendAnswer{Stamp: uint64(stamp)}), nil
 }
 
-// lend renews the loans to the homes in other domains when they are due, if this node is the domain's keeper.
+// lend renews the loans to the homes in other domains when they are due, if this node has a share to lend.
 func (al *Allocator) lend() {
 	now := time.Now()
 	al.mu.Lock()
 	defer al.mu.Unlock()
-	if now.Before(al.nextLend) || !al.isKeeper() {
+	if now.Before(al.nextLend) || al.keeper.Share(clocker.Now()) == 0 {
 		return
 	}
 	al.nextLend = now.Add(lendInterval)
@@ -160,22 +162,28 @@
 	for range 2 {
 		al.mu.Lock()
 		now := clocker.Now()
-		share, ownShare := al.keeper.Lend(now, mb.Domain), al.keeper.Share(now)
+		loan, ownShare := al.keeper.Lend(now, mb.Domain, mb.Instance), al.keeper.Share(now)
 		al.mu.Unlock()
+		echo := uint64(loan.Stamp)
 		ctx, cancel := context.WithTimeout(al.tmb.Context(nil), homeTimeout)
-		rq := &allocatorpb.LendRequest{FailureDomain: string(al.domain), Part: share}
-		_, err := al.clients.To(mb.Peer).Lend(ctx, connect.NewRequest(rq))
+		rq := &allocatorpb.LendRequest{FailureDomain: string(al.domain), Part: loan.Share, Echo: &echo, Lender: string(al.self)}
+		rs, err := al.clients.To(mb.Peer).Lend(ctx, connect.NewRequest(rq))
+		timedOut := ctx.Err() != nil
 		cancel()
 		if err != nil {
-			al.avoidNode(mb.Instance, err)
+			if timedOut {
+				al.avoidNodeFor(mb.Instance, err, avoidSlowFor)
+			} else {
+				al.avoidNode(mb.Instance, err)
+			}
 			al.noteLent(mb, false)
 			return
 		}
 		al.mu.Lock()
-		al.keeper.HomeAnswered(now, mb.Domain)
+		al.keeper.HomeAnswered(clocker.Now(), mb.Domain, mb.Instance, Stamp(rs.Msg.GetStamp()))
 		al.mu.Unlock()
-		al.noteLent(mb, share > 0)
-		if share > 0 || ownShare == 0 {
+		al.noteLent(mb, loan.Share > 0)
+		if loan.Share > 0 || ownShare == 0 {
 			return
 		}
 	}
@@ -217,6 +225,6 @@
 	now := clocker.Now()
 	al.homes.Store(&homes)
 	al.homeDomains = domains
-	al.keeper.SetHomes(homes)
+	al.keeper.SetHomes(now, homes)
 	al.home.SetLimits(now, al.keeper.Share(now), limits)
 }
--- a/allocator/fleet_test.go
+++ b/allocator/fleet_test.go
@@ -44,6 +44,8 @@
 	down bool
 	// slow is how much later the member runs the calls that it receives.
 	slow time.Duration
+	// older is set for a member whose messages lack what older builds do not know.
+	older bool
 }
 
 var errPartitioned = errors.New("simulated network: member unreachable")
@@ -150,11 +152,17 @@
 	}
 	in := rq.Clone(context.WithoutCancel(rq.Context()))
 	in.RequestURI = rq.URL.RequestURI()
+	if mb.older || to.older {
+		dropEchoes(in, nil)
+	}
 	rs, err := to.handle(rq, func() *http.Response {
 		rec := httptest.NewRecorder()
 		to.h.ServeHTTP(rec, in)
 		rs := rec.Result()
 		rs.Body = io.NopCloser(rec.Body)
+		if to.older {
+			dropEchoes(in, rs)
+		}
 		return rs
 	})
 	time.Sleep(delay)
--- a/allocator/home.go
+++ b/allocator/home.go
@@ -19,15 +19,16 @@
 type Home struct {
 	limits  map[Key]Limit
 	buckets map[Key]*homeBucket
-	loans   map[gypsumhoist.FailureDomain]loan
+	loans   map[gypsumhoist.Instance]loan // by lender
+	stamps  stampClock
 	// share is the fraction of every row that the home has had since the last call of updateShare.
 	share float64
 }
 
-// loan is the share of every row that a domain lends, and when it was last renewed.
+// loan is the share of every row that another domain lends, and until when it counts.
 type loan struct {
 	share float64
-	at    time.Time
+	until time.Time
 }
 
 // homeBucket is the token bucket of a centralized row. Its expectedRetries counts refused requests that were told to retry
@@ -59,7 +60,7 @@
 
 // NewHome returns a home without rows and loans.
 func NewHome() *Home {
-	return &Home{limits: map[Key]Limit{}, buckets: map[Key]*homeBucket{}, loans: map[gypsumhoist.FailureDomain]loan{}}
+	return &Home{limits: map[Key]Limit{}, buckets: map[Key]*homeBucket{}, loans: map[gypsumhoist.Instance]loan{}}
 }
 
 // SetLimits replaces the limits of the rows that are centralized here; ownShare is the share of the home's own domain.
@@ -77,11 +78,16 @@
 	hm.fillAll(now, hm.share)
 }
 
-// Borrow starts or renews the loan of a domain.
-func (hm *Home) Borrow(now time.Time, ownShare float64, from gypsumhoist.FailureDomain, share float64) {
+// Borrow starts or renews the loan of a lender, an instance of another domain, and returns the stamp of the answer.
+func (hm *Home) Borrow(now time.Time, ownShare float64, lender gypsumhoist.Instance, sh share, fraction float64) Stamp {
 	hm.updateShare(now, ownShare)
-	hm.loans[from] = loan{share: min(max(share, 0), 1), at: now}
+	if until := sh.until(now, &hm.stamps, loanHold, legacyLoanHold); until.After(now) {
+		hm.loans[lender] = loan{share: min(max(fraction, 0), 1), until: until}
+	} else {
+		delete(hm.loans, lender)
+	}
 	hm.updateShare(now, ownShare)
+	return hm.stamps.issue(now)
 }
 
 // Draw takes one token for a request.
@@ -106,10 +112,12 @@
 // updateShare recomputes the share from the current loans. When it changes, buckets fill at the smaller of both shares up to now.
 func (hm *Home) updateShare(now time.Time, ownShare float64) {
 	share := ownShare
-	for _, ln := range hm.loans {
-		if now.Sub(ln.at) < loanHold {
-			share += ln.share
+	for lender, ln := range hm.loans {
+		if !now.Before(ln.until) {
+			delete(hm.loans, lender)
+			continue
 		}
+		share += ln.share
 	}
 	share = min(share, 1)
 	if share != hm.share {
--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// contactTimeout is how long a keeper assumes that a silent node spends only granted tokens. The node starts to fill a
-	// standby bucket leaseDuration after it sent its last answered report; the timeout is shorter, so that the keeper reduces
-	// its own fill rate first.
-	contactTimeout = leaseDuration - 100*time.Millisecond
+	// shareHold is how long a keeper counts the share of a node, from when it issued the stamp that came with it. It covers a loan of the
+	// share (loanHold) and two reports of an idle node.
+	shareHold = 1500 * time.Millisecond
+	// legacyShareHold is how long a keeper counts the share of a node of an older build, from the arrival of its last report. Such a node fills
+	// a standby bucket leaseDuration after it sent its last answered report.
+	legacyShareHold = leaseDuration - 100*time.Millisecond
 	// heldTokensTimeout is how long a keeper counts the tokens held by a silent node.
 	heldTokensTimeout = leaseDuration + 500*time.Millisecond
 	// reserveWindow is the time for which a domain keeps tokens for its own demand when another domain requests some.
@@ -50,26 +52,31 @@
 // clock, and is not safe for concurrent use. The zero value is not usable; call NewKeeper.
 type Keeper struct {
 	self    gypsumhoist.FailureDomain
-	members map[gypsumhoist.Instance]time.Time // last report of each node of the domain
+	members map[gypsumhoist.Instance]time.Time // until when the share of each node of the domain counts here
 	domains int                                // number of failure domains of the fleet
 	limits  map[Key]Limit
 	buckets map[Key]*domainBucket
-	// homes are the home domains of centralized rows, loansOut what is lent to each home.
+	// homes are the home domains of centralized rows, loansOut the loans of the own share to each home.
 	homes    map[Key]gypsumhoist.FailureDomain
-	loansOut map[gypsumhoist.FailureDomain]*loanOut
-	// contactSince is when the current uninterrupted sequence of reports began, addedAt when each row was added.
-	contactSince, lastReport time.Time
-	addedAt                  map[Key]time.Time
+	loansOut map[gypsumhoist.FailureDomain]*assignment
+	stamps   stampClock
+	// filled is the integral over time of the share that the keeper counts, in seconds, up to advancedAt. Buckets fill by what it has grown, so
+	// that no time counts with a share that the keeper did not have then.
+	filled     float64
+	advancedAt time.Time
+	// addedAt is the value of filled when each row was added or got another home.
+	addedAt map[Key]float64
 	// othersEmptyUntil is until when other domains are assumed to have no tokens to transfer.
 	othersEmptyUntil time.Time
 }
 
-// domainBucket is the domain's token bucket of one row. Its level and the tokens held by nodes together never exceed the domain's
-// burst, except for tokens transferred from other domains.
+// domainBucket is the domain's token bucket of one row. Its level and the tokens held by nodes together never exceed the part of the
+// burst that the keeper has, except for tokens transferred from other domains.
 type domainBucket struct {
 	level       float64
-	transferred float64 // tokens from other domains, granted first
-	at          time.Time
+	transferred float64   // tokens from other domains, granted first
+	at          time.Time // of the last fill
+	filled      float64   // the keeper's value at the last fill
 	nodes       map[gypsumhoist.Instance]*nodeUsage
 	unmet       int64 // tokens that requests lacked since the last call of Deficits
 }
@@ -84,26 +91,47 @@
 func NewKeeper(self gypsumhoist.FailureDomain) *Keeper {
 	return &Keeper{
 		self: self, members: map[gypsumhoist.Instance]time.Time{}, domains: 1,
-		limits: map[Key]Limit{}, buckets: map[Key]*domainBucket{}, addedAt: map[Key]time.Time{},
-		loansOut: map[gypsumhoist.FailureDomain]*loanOut{},
+		limits: map[Key]Limit{}, buckets: map[Key]*domainBucket{}, addedAt: map[Key]float64{},
+		loansOut: map[gypsumhoist.FailureDomain]*assignment{},
 	}
 }
 
 // SetMembers sets the nodes of the domain, unreachable ones included, and the number of failure domains of the fleet.
 // Shares are equal per domain, not per node, because a domain knows only some of the nodes of other domains.
-func (kp *Keeper) SetMembers(members []gypsumhoist.Instance, domains int) {
+func (kp *Keeper) SetMembers(now time.Time, members []gypsumhoist.Instance, domains int) {
+	kp.advance(now)
 	next := make(map[gypsumhoist.Instance]time.Time, len(members))
 	for _, in := range members {
 		next[in] = kp.members[in]
 	}
 	kp.members, kp.domains = next, max(domains, 1)
-	kp.clampLevels()
+	kp.clampLevels(now)
 }
 
-// clampLevels reduces the level of each bucket to the domain's burst.
-func (kp *Keeper) clampLevels() {
+// advance adds the time since the last call to filled. It is called before anything that the share depends on changes.
+func (kp *Keeper) advance(now time.Time) {
+	passed := 0.0
+	for _, until := range kp.members {
+		if until.After(now) {
+			until = now
+		}
+		passed += max(until.Sub(kp.advancedAt).Seconds(), 0)
+	}
+	if kp.advancedAt.IsZero() {
+		passed = 0
+	}
+	kp.filled += passed / kp.parts()
+	kp.advancedAt = now
+}
+
+// parts returns into how many equal shares every row is divided: one for each node, if all domains are as large as this one.
+func (kp *Keeper) parts() float64 { return float64(max(len(kp.members), 1) * kp.domains) }
+
+// clampLevels reduces the level of each bucket to the keeper's part of the burst.
+func (kp *Keeper) clampLevels(now time.Time) {
+	share := kp.Share(now)
 	for ky, db := range kp.buckets {
-		db.level = min(db.level, kp.domainBurst(ky))
+		db.level = min(db.level, kp.burst(share, ky))
 	}
 }
 
@@ -115,22 +143,23 @@
 	}
 	kp.limits = limits
 	for ky := range limits {
-		if kp.addedAt[ky].IsZero() {
-			kp.addedAt[ky] = now
+		if _, known := kp.addedAt[ky]; !known {
+			kp.addedAt[ky] = kp.filled
 		}
 	}
-	maps.DeleteFunc(kp.addedAt, func(ky Key, _ time.Time) bool { _, known := limits[ky]; return !known })
+	maps.DeleteFunc(kp.addedAt, func(ky Key, _ float64) bool { _, known := limits[ky]; return !known })
 	maps.DeleteFunc(kp.buckets, func(ky Key, _ *domainBucket) bool { _, known := limits[ky]; return !known })
-	kp.clampLevels()
+	kp.clampLevels(now)
 }
 
-// Report applies the report of a node on all rows of which it holds or needs tokens, and returns what it is granted.
-func (kp *Keeper) Report(now time.Time, node gypsumhoist.Instance, reports []RowReport) []Grant {
-	kp.members[node] = now
-	if now.Sub(kp.lastReport) > contactTimeout {
-		kp.contactSince = now
+// Report applies the report of a node on all rows of which it holds or needs tokens. It returns what the node is granted, and the stamp of the answer.
+func (kp *Keeper) Report(now time.Time, node gypsumhoist.Instance, sh share, reports []RowReport) ([]Grant, Stamp) {
+	kp.advance(now)
+	until := sh.until(now, &kp.stamps, shareHold, legacyShareHold)
+	if before := kp.members[node]; sh.stamp != 0 && before.After(until) {
+		until = before
 	}
-	kp.lastReport = now
+	kp.members[node] = until
 	fp := kp.fillParams(now)
 	var out []Grant
 	for _, rr := range reports {
@@ -138,14 +167,14 @@
 			out = append(out, kp.grant(fp, node, rr))
 		}
 	}
-	return out
+	return out, kp.stamps.issue(now)
 }
 
 func (kp *Keeper) grant(fp fillParams, node gypsumhoist.Instance, rr RowReport) Grant {
 	db := kp.bucket(fp.now, rr.Key)
 	delete(db.nodes, node)
 	kp.fill(fp, rr.Key, db)
-	db.level = min(db.level+float64(rr.Returned), max(kp.domainBurst(rr.Key)-db.outstanding(fp.now), db.level))
+	db.level = min(db.level+float64(rr.Returned), max(kp.burst(fp.share, rr.Key)-db.outstanding(fp.now), db.level))
 	wanted := rr.Waiting + max(prefetch(rr.Demand)-rr.Held, 0)
 	amount := min(wanted, int64(db.level+db.transferred))
 	db.take(float64(amount))
@@ -161,64 +190,74 @@
 	db.level -= amount - transferred
 }
 
-// bucket returns the bucket of a row. A new bucket counts as filling since the row was added and nodes began to report here,
-// whichever is later: another keeper may have granted all earlier tokens.
+// bucket returns the bucket of a row. A new one counts as filling since the row was added, for the shares that the keeper has had since.
 func (kp *Keeper) bucket(now time.Time, ky Key) *domainBucket {
 	db := kp.buckets[ky]
 	if db == nil {
-		at := kp.contactSince
-		if kp.addedAt[ky].After(at) {
-			at = kp.addedAt[ky]
-		}
-		if kp.contactSince.IsZero() {
-			at = now
+		db = &domainBucket{at: now, filled: kp.addedAt[ky], nodes: map[gypsumhoist.Instance]*nodeUsage{}}
+		if _, centralized := kp.homes[ky]; centralized {
+			db.filled = kp.filled
 		}
-		db = &domainBucket{at: at, nodes: map[gypsumhoist.Instance]*nodeUsage{}}
 		kp.buckets[ky] = db
 	}
 	return db
 }
 
-// fill adds the tokens of the domain's rate since the last fill. It empties the bucket of a row whose share is lent.
+// empty drops all tokens. The bucket fills from now on.
+func (db *domainBucket) empty(now time.Time, filled float64) {
+	db.level, db.transferred, db.unmet, db.at, db.filled = 0, 0, 0, now, filled
+}
+
+// fill adds the tokens of the keeper's share since the last fill. It empties the bucket of a row whose share has been lent since then.
 func (kp *Keeper) fill(fp fillParams, ky Key, db *domainBucket) {
-	passed := fp.now.Sub(db.at).Seconds()
-	db.at = fp.now
-	if kp.isLent(fp.now, ky) {
-		db.level, db.transferred, db.unmet = 0, 0, 0
-		return
-	}
-	if passed <= 0 {
+	if kp.isLent(db.at, ky) {
+		db.empty(fp.now, kp.filled)
 		return
 	}
-	space := kp.domainBurst(ky) - db.outstanding(fp.now) - db.level
-	db.level += max(min(kp.domainRate(fp, ky)*passed, space), 0)
+	grown := kp.limits[ky].Rate * (kp.filled - db.filled)
+	db.at, db.filled = fp.now, kp.filled
+	burst := kp.burst(fp.share, ky)
+	db.level = min(db.level, burst)
+	db.level += max(min(grown, burst-db.outstanding(fp.now)-db.level), 0)
 }
 
 // fillParams are the parameters of fill that are the same for all rows.
 type fillParams struct {
 	now time.Time
-	// share is the fraction of every rate at which the domain's buckets fill: that of the nodes that the keeper hears from.
+	// share is the fraction of every row that the keeper has now.
 	share float64
 }
 
+// fillParams advances to a time and returns the parameters of fill.
 func (kp *Keeper) fillParams(now time.Time) fillParams {
-	heard := 0
-	for _, at := range kp.members {
-		if !at.IsZero() && now.Sub(at) < contactTimeout {
-			heard++
+	kp.advance(now)
+	return fillParams{now: now, share: kp.Share(now)}
+}
+
+// shareUntil returns the fraction of every row that the keeper has from now until a later time.
+func (kp *Keeper) shareUntil(now, end time.Time) float64 {
+	counted := 0
+	for _, until := range kp.members {
+		if until.After(now) && !until.Before(end) {
+			counted++
 		}
 	}
-	return fillParams{now: now, share: float64(heard) / float64(max(len(kp.members), 1)*kp.domains)}
+	return float64(counted) / kp.parts()
 }
 
-// Share returns the fraction of every row that the domain may use now: that of the nodes that the keeper hears from.
-func (kp *Keeper) Share(now time.Time) float64 { return kp.fillParams(now).share }
+// Share returns the fraction of every row that the keeper has now: that of the nodes whose share it counts.
+func (kp *Keeper) Share(now time.Time) float64 { return kp.shareUntil(now, now) }
 
 // domainRate returns the rate at which the domain's bucket of a row fills.
 func (kp *Keeper) domainRate(fp fillParams, ky Key) float64 { return kp.limits[ky].Rate * fp.share }
 
-// domainBurst returns the domain's share of a burst, at least one token.
-func (kp *Keeper) domainBurst(ky Key) float64 { return max(kp.limits[ky].Burst/float64(kp.domains), 1) }
+// burst returns the part of a row's burst that belongs to a share, at least one token.
+func (kp *Keeper) burst(share float64, ky Key) float64 {
+	if share == 0 {
+		return 0
+	}
+	return max(kp.limits[ky].Burst*share, 1)
+}
 
 // outstanding returns the number of tokens held by nodes.
 func (db *domainBucket) outstanding(now time.Time) float64 {
--- a/allocator/lending.go
+++ b/allocator/lending.go
@@ -8,28 +8,34 @@
 
 // Timing of loans. A loan is a domain's share of centralized rows, lent to their home.
 const (
-	// loanDuration is how long a domain does not use its share after it last lent it to a home. In a partition, the domain's
-	// requests can use neither the share nor the home for this long.
-	loanDuration = 600 * time.Millisecond
-	// loanHold is how long a home counts a share as lent to it. It is shorter, so that the home stops before the domain resumes.
-	loanHold = loanDuration - 100*time.Millisecond
+	// loanHold is how long a home counts a loan, from when it issued the stamp that came with it. In a partition, the
+	// domain's requests can use neither the share nor the home for about as long.
+	loanHold = 700 * time.Millisecond
+	// legacyLoanHold is how long a home counts a loan of an older build, from its arrival.
+	legacyLoanHold = 500 * time.Millisecond
 	// homeTimeout is how long a home may be silent before the domain stops lending to it.
 	homeTimeout = 300 * time.Millisecond
 	// lendInterval is the interval at which a domain renews its loans.
 	lendInterval = 200 * time.Millisecond
 )
 
-// loanOut is the state of the loan to one home. The home counts a loan for loanHold. It may have received a loan whose
-// answer was lost, so the domain uses its share again only loanDuration after it last sent one.
-type loanOut struct {
-	answered, sent time.Time
+// SetHomes sets the home domains of the centralized rows. The bucket of a row that gets another home starts over empty.
+func (kp *Keeper) SetHomes(now time.Time, homes map[Key]gypsumhoist.FailureDomain) {
+	kp.advance(now)
+	for ky := range kp.limits {
+		if homes[ky] == kp.homes[ky] {
+			continue
+		}
+		kp.addedAt[ky] = kp.filled
+		if db := kp.buckets[ky]; db != nil {
+			db.empty(now, kp.filled)
+		}
+	}
+	kp.homes = homes
 }
 
-// SetHomes sets the home domains of the centralized rows.
-func (kp *Keeper) SetHomes(homes map[Key]gypsumhoist.FailureDomain) { kp.homes = homes }
-
-// isLent reports whether the domain's share of a row is lent to the row's home.
-func (kp *Keeper) isLent(now time.Time, ky Key) bool {
+// isLent reports whether the domain's share of a row is lent to the row's home, or was at any time after the given one.
+func (kp *Keeper) isLent(since time.Time, ky Key) bool {
 	home, centralized := kp.homes[ky]
 	if !centralized {
 		return false
@@ -38,28 +44,41 @@
 		return true
 	}
 	lo := kp.loansOut[home]
-	return lo != nil && now.Sub(lo.sent) < loanDuration
+	return lo != nil && lo.assigned(since)
 }
 
-// Lend starts or renews the loan to a home, and returns the share of every row that the domain lends. The share is 0 for a home that
-// has not answered within homeTimeout, until it answers again.
-func (kp *Keeper) Lend(now time.Time, home gypsumhoist.FailureDomain) float64 {
-	lo := kp.loansOut[home]
-	if lo == nil {
-		lo = &loanOut{}
-		kp.loansOut[home] = lo
+// Loan is what a domain lends to a home: a fraction of every row, and the stamp of the home that comes with it. The fraction is 0, without a stamp, for a
+// home that has not answered within homeTimeout, until it answers again, and while another instance may still count the last loan.
+type Loan struct {
+	Share float64
+	Stamp Stamp
+}
+
+// Lend starts or renews the loan to the instance that is the home of centralized rows in another domain.
+func (kp *Keeper) Lend(now time.Time, domain gypsumhoist.FailureDomain, home gypsumhoist.Instance) Loan {
+	lo := kp.loanOut(domain)
+	// Nodes that may go over to another keeper before the loan ends don't count.
+	share := kp.shareUntil(now, now.Add(loanHold))
+	if share == 0 {
+		return Loan{}
 	}
-	share := kp.Share(now)
-	if share == 0 || now.Sub(lo.answered) > homeTimeout {
-		return 0
+	stamp, ok := lo.assign(now, home)
+	if !ok {
+		return Loan{}
 	}
-	lo.sent = now
-	return share
+	return Loan{Share: share, Stamp: stamp}
 }
 
-// HomeAnswered records that a home has answered the call sent at a time.
-func (kp *Keeper) HomeAnswered(sent time.Time, home gypsumhoist.FailureDomain) {
-	if lo := kp.loansOut[home]; lo != nil {
-		lo.answered = sent
+func (kp *Keeper) loanOut(domain gypsumhoist.FailureDomain) *assignment {
+	lo := kp.loansOut[domain]
+	if lo == nil {
+		lo = &assignment{hold: loanHold, maxAge: homeTimeout}
+		kp.loansOut[domain] = lo
 	}
+	return lo
+}
+
+// HomeAnswered records the answer of a home.
+func (kp *Keeper) HomeAnswered(now time.Time, domain gypsumhoist.FailureDomain, home gypsumhoist.Instance, stamp Stamp) {
+	kp.loanOut(domain).answered(now, home, stamp)
 }
--- a/allocator/node_bucket.go
+++ b/allocator/node_bucket.go
@@ -24,6 +24,8 @@
 	rate, burst float64 // fleet-wide limit of the row, in tokens per second and in tokens
 	nodes       float64 // of the fleet, estimated
 	hasLease    bool
+	// assigned is set while a keeper may count the node's share.
+	assigned bool
 }
 
 // verdict is the decision of a node bucket on a request.
@@ -83,6 +85,9 @@
 
 func (nb *nodeBucket) take(sp spendParams) verdict {
 	if !sp.hasLease {
+		if sp.assigned {
+			return verdictEmpty
+		}
 		return nb.takeStandby(sp)
 	}
 	nb.standbyActive = false
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/clocker"
 	"github.com/gypsumhoist/gypsumhoist/hasher"
 )
 
@@ -88,6 +89,7 @@
 			continue
 		}
 		al.noteKeeper(mb.Instance)
+		al.releaseShare(mb.Instance)
 		al.applyGrants(sentAt, grants)
 		if !hadLease {
 			al.log.Log(eventStandbyEnded, "keeper", mb.Instance)
@@ -99,6 +101,32 @@
 	}
 }
 
+// releaseShare asks the keeper that has the node's share to count it no more if another one has answered a report.
+func (al *Allocator) releaseShare(next gypsumhoist.Instance) {
+	now := clocker.Now()
+	al.mu.Lock()
+	holder, ok := al.assignment.releasable(now, next)
+	at := slices.IndexFunc(al.members[al.domain], func(mb Member) bool { return mb.Instance == holder })
+	var to Member
+	if ok = ok && at >= 0; ok {
+		to = al.members[al.domain][at]
+		ok = !time.Now().Before(al.avoidUntil[holder])
+	}
+	al.mu.Unlock()
+	if !ok {
+		return
+	}
+	al.tmb.Go(func() error {
+		if _, _, err := al.exchangeReport(to, share{known: true}, nil); err != nil {
+			return nil
+		}
+		al.mu.Lock()
+		defer al.mu.Unlock()
+		al.assignment.released(clocker.Now(), holder)
+		return nil
+	})
+}
+
 func (al *Allocator) rowReports(now time.Duration) []RowReport {
 	var out []RowReport
 	for ky, nb := range *al.buckets.Load() {
