connector: a close by the client is noticed whatever the server does

Requests went on, and made calls, after their callers had closed the connection. net/http notices a close by a read in the background, of one byte. A request behind the running one that could not run at once left that byte unread: on a draining node every pipelined request, else the 33rd of a connection, one with a body, or any without memory. Nobody read either before a body was consumed, or while an error waited behind other responses. After a pause, requests were dispatched one by one before the close behind them was read.

One goroutine now reads a callers' connection from its start to its end. A close, or an error, ends the contexts of all its requests directly and drops what was not read. The server reads from the buffer; read deadlines are those of that. The watcher of closing connections and the slot for a head that the server read ahead are gone.

--- a/connector/clientconn.go
+++ b/connector/clientconn.go
@@ -20,7 +20,16 @@
 // clientConnKey is the key of a request's clientConn in its context.
 type clientConnKey struct{}
 
+// withClientConn returns the context of the requests on a connection, as http.Server.ConnContext does.
 func withClientConn(ctx context.Context, cn net.Conn) context.Context {
+	switch cn := cn.(type) {
+	case *headConn:
+		if pc, ok := cn.Conn.(*pipeConn); ok {
+			ctx = pc.begin(ctx)
+		}
+	case *requestConn:
+		ctx = cn.conn.ctx
+	}
 	if cc, ok := cn.(clientConn); ok {
 		return context.WithValue(ctx, clientConnKey{}, cc)
 	}
--- a/connector/pipeconn.go
+++ b/connector/pipeconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -12,9 +13,11 @@
 
 // Limits of pipelining.
 const (
-	pipeReadBytes = 2 << 10 // bytes per read of pipelined requests
-	// pipeKeepBytes is the largest buffer that a connection keeps for its next head.
-	pipeKeepBytes = 2 << 10
+	pipeReadBytes = 2 << 10 // bytes per read from a client that sends little
+	// pipeKeepBytes is how much a connection holds that the server has not read yet; more, up to pipeAheadBytes, is charged in steps of aheadStep.
+	pipeKeepBytes  = 2 << 10
+	pipeAheadBytes = 64 << 10
+	aheadStep      = 16 << 10
 )
 
 // phase is the part of the byte stream that the server reads next from a pipeConn.
@@ -28,37 +31,209 @@
 	phasePassthrough // all further bytes are passed to the server unparsed
 )
 
-// pipeConn is a client's connection as the server sees it. While a request runs, it reads and dispatches pipelined requests.
+// pipeConn is a client's connection as the server sees it. It is read from its start to its end, whatever the server does, so that it is
+// known at once when the client closes it: that ends the contexts of all its requests. While a request runs, pipelined ones are dispatched.
 type pipeConn struct {
 	net.Conn
 	listener *pipeListener
 
-	// These are used by one reading goroutine at a time.
+	// These are used by one goroutine of the server at a time.
 	phase    phase
 	head     []byte // of the current request
-	buffered []byte // read from the client, not yet passed to the server
 	bodyLeft int64  // unread bytes of the body
-	oneByte  [1]byte
-	ahead    int64 // charged for the bytes that are read ahead of their turn
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// arrived is signaled when there is something new to read, or room for it.
+	arrived      sync.Cond
+	buffered     []byte // read from the client, not yet passed to the server
+	ahead        int64  // charged for what is buffered beyond pipeKeepBytes
+	readErr      error  // that ended the reception
+	readDeadline time.Time
+	readTimer    *time.Timer
+	// cancel ends the contexts of the requests; nil before the server has the connection.
+	cancel context.CancelFunc
+	ctx    context.Context
+
 	slots []*responseSlot
-	// current is the slot of the request that the server runs on this connection, next that of the request whose head it reads meanwhile.
-	current, next *responseSlot
-	// closed is set once nothing more is sent; closing, once no more requests are taken.
-	closed, closing bool
-	lingering       bool // the client is given time to read the last response
-	watched         bool // run was started
+	// current is the slot of the request that the server reads or runs on this connection.
+	current *responseSlot
+	// closed is set once nothing more is sent; closing, once no more requests are taken; discarding, once the server reads nothing more.
+	closed, closing, discarding bool
+	lingering                   bool // the client is given time to read the last response
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
 
+func newPipeConn(cn net.Conn, pl *pipeListener) *pipeConn {
+	pc := &pipeConn{Conn: cn, listener: pl, changed: make(chan struct{})}
+	pc.arrived.L = &pc.mu
+	return pc
+}
+
+// begin starts the reception. It returns the context of the connection's requests.
+func (pc *pipeConn) begin(ctx context.Context) context.Context {
+	pc.ctx, pc.cancel = context.WithCancel(ctx)
+	go pc.run()
+	return pc.ctx
+}
+
+// run reads what the client sends until the connection ends.
+func (pc *pipeConn) run() {
+	size := pipeReadBytes
+	buf := make([]byte, size)
+	for {
+		room, ok := pc.waitForRoom(size)
+		if !ok {
+			return
+		}
+		num, err := pc.Conn.Read(buf[:room])
+		pc.receive(buf[:num], err)
+		if err != nil {
+			return
+		}
+		switch {
+		case num == size && size < aheadStep:
+			size *= 2
+			buf = make([]byte, size)
+		case num < pipeReadBytes && size > pipeReadBytes:
+			size = pipeReadBytes
+			buf = make([]byte, size)
+		}
+	}
+}
+
+// waitForRoom waits until the buffer has room and returns how much, size at most; false once the connection has ended.
+func (pc *pipeConn) waitForRoom(size int) (int, bool) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	for {
+		room := pipeKeepBytes + int(pc.ahead) - len(pc.buffered)
+		if room <= 0 && pc.ahead < pipeAheadBytes && pc.listener.accountant.tryPipelined(pc.listener.port, aheadStep) {
+			pc.ahead += aheadStep
+			room += aheadStep
+		}
+		switch {
+		case pc.discarding:
+			return size, true
+		case pc.closed:
+			return 0, false
+		case room > 0:
+			return min(room, size), true
+		}
+		pc.arrived.Wait()
+	}
+}
+
+// receive takes what was read. An error ends the connection and the contexts of its requests: nobody waits for their responses.
+func (pc *pipeConn) receive(part []byte, err error) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if !pc.discarding {
+		pc.buffered = append(pc.buffered, part...)
+	}
+	if err != nil {
+		pc.readErr = err
+		pc.end()
+	}
+	pc.arrived.Broadcast()
+}
+
+// end marks the connection as closed: nothing more is sent or passed to the server. The mutex is held.
+func (pc *pipeConn) end() {
+	pc.closed = true
+	if pc.readTimer != nil {
+		pc.readTimer.Stop()
+	}
+	pc.discard()
+	if pc.cancel != nil {
+		pc.cancel()
+	}
+	pc.signal()
+}
+
+// discard drops what the server has not read and what still arrives. The mutex is held.
+func (pc *pipeConn) discard() {
+	pc.discarding = true
+	pc.take(len(pc.buffered))
+	pc.arrived.Broadcast()
+}
+
+// take removes bytes from the front of the buffer. The mutex is held.
+func (pc *pipeConn) take(num int) {
+	pc.buffered = pc.buffered[num:]
+	if len(pc.buffered) == 0 {
+		pc.buffered = nil
+	}
+	if pc.ahead > 0 && len(pc.buffered) < pipeKeepBytes/2 {
+		pc.listener.accountant.add(pc.listener.port, -pc.ahead)
+		pc.ahead = 0
+	}
+	pc.arrived.Broadcast()
+}
+
+// SetReadDeadline implements net.Conn. The deadline is that of Read, not of the reception.
+func (pc *pipeConn) SetReadDeadline(at time.Time) error {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.readDeadline = at
+	pc.arrived.Broadcast()
+	return nil
+}
+
+// SetDeadline implements net.Conn.
+func (pc *pipeConn) SetDeadline(at time.Time) error {
+	if err := pc.SetReadDeadline(at); err != nil {
+		return err
+	}
+	return pc.SetWriteDeadline(at)
+}
+
+// await waits until the buffer holds more than a number of bytes. The mutex is held.
+func (pc *pipeConn) await(num int) error {
+	for {
+		switch {
+		case pc.readErr != nil:
+			return pc.readErr
+		case pc.closed:
+			return net.ErrClosed
+		case pc.readDeadline.IsZero():
+		case !time.Now().Before(pc.readDeadline):
+			return os.ErrDeadlineExceeded
+		}
+		if len(pc.buffered) > num {
+			return nil
+		}
+		pc.scheduleDeadline()
+		pc.arrived.Wait()
+	}
+}
+
+// scheduleDeadline wakes await at the read deadline. The mutex is held.
+func (pc *pipeConn) scheduleDeadline() {
+	if pc.readTimer != nil {
+		pc.readTimer.Stop()
+	}
+	if pc.readDeadline.IsZero() {
+		return
+	}
+	wait := time.Until(pc.readDeadline)
+	if pc.readTimer == nil {
+		pc.readTimer = time.AfterFunc(wait, func() {
+			pc.mu.Lock()
+			defer pc.mu.Unlock()
+			pc.arrived.Broadcast()
+		})
+		return
+	}
+	pc.readTimer.Reset(wait)
+}
+
 // Read implements net.Conn.
 func (pc *pipeConn) Read(buf []byte) (int, error) {
 	for {
 		switch pc.phase {
 		case phaseHead:
-			n, err := pc.readRaw(buf)
+			n, err := pc.readBuffered(buf)
 			if err != nil && pc.extendIdle(err) {
 				continue
 			}
@@ -69,59 +244,49 @@
 			}
 			return accepted, err
 		case phaseHeadRead:
-			if err := pc.ensureBuffered(len(buf)); err != nil {
+			if err := pc.awaitMore(); err != nil {
 				return 0, err
 			}
 			pc.setBodyPhase()
 		case phaseBody:
-			n, err := pc.readRaw(buf[:min(int64(len(buf)), pc.bodyLeft)])
+			n, err := pc.readBuffered(buf[:min(int64(len(buf)), pc.bodyLeft)])
 			if pc.bodyLeft -= int64(n); pc.bodyLeft == 0 {
 				pc.phase = phasePipelined
 			}
 			return n, err
 		case phasePipelined:
-			if err := pc.dispatchPipelined(); err != nil {
-				return 0, err
-			}
+			// The server reads in the background while a request runs, until it interrupts this with a deadline.
+			return 0, pc.dispatchPipelined()
 		default:
-			return pc.readRaw(buf)
+			return pc.readBuffered(buf)
 		}
 	}
 }
 
-// readRaw reads from the buffer or, if it is empty, from the client.
-func (pc *pipeConn) readRaw(buf []byte) (int, error) {
-	if len(pc.buffered) > 0 {
-		n := copy(buf, pc.buffered)
-		pc.buffered = pc.buffered[n:]
-		return n, nil
+// readBuffered returns bytes in the order in which they arrived.
+func (pc *pipeConn) readBuffered(buf []byte) (int, error) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if err := pc.await(0); err != nil {
+		return 0, err
 	}
-	n, err := pc.Conn.Read(buf)
-	pc.noteReadError(err)
-	return n, err
+	num := copy(buf, pc.buffered)
+	pc.take(num)
+	return num, nil
 }
 
-// ensureBuffered reads once, at most size bytes, if the buffer is empty.
-func (pc *pipeConn) ensureBuffered(size int) error {
-	if len(pc.buffered) > 0 {
-		return nil
-	}
-	buf := pc.oneByte[:]
-	if size > 1 {
-		buf = make([]byte, min(size, pipeReadBytes))
-	}
-	return pc.readMore(buf)
+// awaitMore waits until there is something to read.
+func (pc *pipeConn) awaitMore() error {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	return pc.await(0)
 }
 
-// readMore reads once and appends to the buffer.
-func (pc *pipeConn) readMore(buf []byte) error {
-	n, err := pc.Conn.Read(buf)
-	pc.buffered = append(pc.buffered, buf[:n]...)
-	pc.noteReadError(err)
-	if n > 0 {
-		return nil
-	}
-	return err
+// unread puts bytes back to the front of the buffer.
+func (pc *pipeConn) unread(part []byte) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	pc.buffered = append(slices.Clone(part), pc.buffered...)
 }
 
 // splitHead moves bytes beyond the end of the head to the buffer and returns how many of the bytes belong to the head.
@@ -148,7 +313,7 @@
 	headLen := from + end + len(headEnd)
 	extra := len(pc.head) - headLen
 	if extra > 0 {
-		pc.buffered = append(slices.Clone(part[len(part)-extra:]), pc.buffered...)
+		pc.unread(part[len(part)-extra:])
 	}
 	pc.head = pc.head[:headLen]
 	if !pc.endHead() {
@@ -180,51 +345,52 @@
 	}
 }
 
-// dispatchPipelined dispatches pipelined requests until the buffer holds bytes that the server has to read from this connection.
+// dispatchPipelined dispatches pipelined requests until the read deadline passes or the connection ends. One that can't be dispatched waits,
+// with all behind it, until the server reads it.
 func (pc *pipeConn) dispatchPipelined() error {
-	defer pc.endReadAhead()
+	seen := 0
 	for {
-		if err := pc.ensureBuffered(1); err != nil {
+		head, err := pc.awaitHead(seen)
+		if err != nil {
 			return err
 		}
-		end := bytes.Index(pc.buffered, headEnd)
-		if end < 0 && len(pc.buffered) <= pipeMaxHeadBytes && pc.mayReadAhead() {
-			if err := pc.readMore(make([]byte, pipeReadBytes)); err != nil {
-				return err
-			}
-			continue
-		}
-		if end >= 0 {
-			head := slices.Clone(pc.buffered[:end+len(headEnd)])
-			if canRunConcurrently(head) && pc.dispatch(head) {
-				pc.buffered = pc.buffered[len(head):]
-				continue
-			}
+		if head == nil || !canRunConcurrently(head) || !pc.dispatch(head) {
+			return pc.awaitEnd()
 		}
-		pc.phase = phaseHead
-		return nil
+		seen = 0
 	}
 }
 
-// mayReadAhead reports whether more of a pipelined head may be read before its turn, beyond pipeKeepBytes only while there is room for it.
-func (pc *pipeConn) mayReadAhead() bool {
-	if len(pc.buffered) <= pipeKeepBytes || pc.ahead > 0 {
-		return true
-	}
-	if !pc.listener.accountant.tryPipelined(pc.listener.port, pipeMaxHeadBytes) {
-		return false
+// awaitHead waits for the head of the next request and returns a copy of it, without taking it. It returns nil for one that is too long to be parsed.
+func (pc *pipeConn) awaitHead(seen int) ([]byte, error) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	for {
+		if err := pc.await(seen); err != nil {
+			return nil, err
+		}
+		if end := bytes.Index(pc.buffered, headEnd); end >= 0 {
+			return slices.Clone(pc.buffered[:end+len(headEnd)]), nil
+		}
+		if seen = len(pc.buffered); seen >= pipeMaxHeadBytes {
+			return nil, nil
+		}
 	}
-	pc.ahead = pipeMaxHeadBytes
-	return true
 }
 
-// endReadAhead ends the charge of mayReadAhead.
-func (pc *pipeConn) endReadAhead() {
-	if pc.ahead == 0 {
-		return
+// awaitEnd waits until the read deadline passes or the connection ends. What arrives meanwhile stays in the buffer, unless it can't be a request
+// any more.
+func (pc *pipeConn) awaitEnd() error {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	for {
+		if pc.closing {
+			pc.take(len(pc.buffered))
+		}
+		if err := pc.await(len(pc.buffered)); err != nil {
+			return err
+		}
 	}
-	pc.listener.accountant.add(pc.listener.port, -pc.ahead)
-	pc.ahead = 0
 }
 
 // dispatch passes a request to the server on a requestConn and reports whether it did.
@@ -242,12 +408,14 @@
 	rc := &requestConn{conn: pc, head: head, slot: &responseSlot{received: true, cost: cost}}
 	rc.slot.response.isHEAD = isHEAD(head)
 	pc.slots = append(pc.slots, rc.slot)
+	pc.take(len(head))
 	pc.mu.Unlock()
 	if pc.listener.offer(rc) {
 		return true
 	}
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
+	pc.buffered = append(head, pc.buffered...)
 	pc.listener.accountant.add(pc.listener.port, -cost)
 	pc.slots = slices.DeleteFunc(pc.slots, func(rs *responseSlot) bool { return rs == rc.slot })
 	return false
@@ -261,16 +429,5 @@
 	pc.mu.Lock()
 	extend := pc.current == nil && len(pc.slots) > 0 && !pc.closed
 	pc.mu.Unlock()
-	return extend && pc.Conn.SetReadDeadline(time.Now().Add(pc.listener.idleTimeout)) == nil
-}
-
-// noteReadError marks the connection as closed by the client, unless the error is an expired deadline.
-func (pc *pipeConn) noteReadError(err error) {
-	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		return
-	}
-	pc.mu.Lock()
-	defer pc.mu.Unlock()
-	pc.closed = true
-	pc.signal()
+	return extend && pc.SetReadDeadline(time.Now().Add(pc.listener.idleTimeout)) == nil
 }
--- a/connector/pipelistener.go
+++ b/connector/pipelistener.go
@@ -37,7 +37,7 @@
 	for {
 		cn, err := pl.Listener.Accept()
 		if err == nil {
-			if !pl.offer(&pipeConn{Conn: cn, listener: pl, changed: make(chan struct{})}) {
+			if !pl.offer(newPipeConn(cn, pl)) {
 				_ = cn.Close()
 				return
 			}
--- a/connector/pipeorder.go
+++ b/connector/pipeorder.go
@@ -23,15 +23,12 @@
 func (pc *pipeConn) beginHead() bool {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	switch {
-	case pc.closing:
+	if pc.closing {
 		return false
-	case pc.current == nil:
+	}
+	if pc.current == nil {
 		pc.current = &responseSlot{}
 		pc.slots = append(pc.slots, pc.current)
-	case pc.next == nil && len(pc.head) == 0:
-		pc.next = &responseSlot{}
-		pc.slots = append(pc.slots, pc.next)
 	}
 	return true
 }
@@ -43,12 +40,8 @@
 	if pc.closing {
 		return false
 	}
-	rs := pc.current
-	if pc.next != nil {
-		rs = pc.next
-	}
-	rs.received = true
-	rs.response.isHEAD = isHEAD(pc.head)
+	pc.current.received = true
+	pc.current.response.isHEAD = isHEAD(pc.head)
 	return true
 }
 
@@ -131,7 +124,7 @@
 	if pc.current != nil {
 		pc.current.done = true
 	}
-	pc.current, pc.next = pc.next, nil
+	pc.current = nil
 	pc.advance()
 	pc.mu.Unlock()
 	if pc.phase == phaseHeadRead || pc.phase == phasePipelined {
@@ -169,7 +162,7 @@
 
 // closeGracefully closes the client's connection after leaving the client time to read what was written. The mutex is held.
 func (pc *pipeConn) closeGracefully() {
-	pc.closed = true
+	pc.end()
 	if cw, ok := pc.Conn.(interface{ CloseWrite() error }); ok && cw.CloseWrite() == nil {
 		pc.lingering = true
 		time.AfterFunc(pipeLinger, func() { _ = pc.Conn.Close() })
@@ -210,34 +203,17 @@
 		return nil
 	}
 	if pc.closed || len(pc.slots) == 0 || pc.slots[0].done {
-		pc.closed = true
-		pc.signal()
+		pc.end()
 		return pc.Conn.Close()
 	}
-	if !pc.watched {
-		pc.watched = true
-		go pc.run()
-	}
+	pc.discard()
 	return nil
 }
 
 // abort ends the connection at once, with all its requests.
 func (pc *pipeConn) abort() {
 	pc.mu.Lock()
-	pc.closed = true
-	pc.signal()
+	pc.end()
 	pc.mu.Unlock()
 	abortConn(pc.Conn)
 }
-
-// run discards what the client sends while responses are due on a connection that the server does not read any more,
-// to notice when the client disconnects.
-func (pc *pipeConn) run() {
-	buf := make([]byte, pipeReadBytes)
-	// It fails only on a closed connection, as does the read.
-	err := pc.Conn.SetReadDeadline(time.Time{})
-	for err == nil {
-		_, err = pc.Conn.Read(buf)
-	}
-	pc.noteReadError(err)
-}
--- a/connector/server.go
+++ b/connector/server.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // maxReadFrameBytes limits the HTTP/2 frames that clients may send.
@@ -22,6 +24,7 @@
 	config   config
 	server   *http.Server
 	refusals *refusals
+	left     *metrics.Counter // requests that did not begin, as their client had left
 	draining atomic.Bool
 }
 
@@ -32,6 +35,7 @@
 		sv.config.accountant = NewAccountant(DefaultLimits)
 	}
 	sv.refusals = newRefusals(sv)
+	sv.left = counter(sv.config.metrics, `gypsumhoist_connector_left_requests_total{port="`+sv.config.port.String()+`"}`)
 	var protos http.Protocols
 	protos.SetHTTP1(true)
 	protos.SetHTTP2(true)
--- a/connector/stall.go
+++ b/connector/stall.go
@@ -18,6 +18,11 @@
 
 // ServeHTTP implements http.Handler.
 func (gu *guard) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
+	if req.Context().Err() != nil {
+		// The client closed the connection before the request began.
+		gu.server.left.Inc()
+		panic(http.ErrAbortHandler)
+	}
 	client := clientConnOf(req)
 	if hc, ok := client.(*headConn); ok {
 		refused := hc.rejected
