forwarder, platform: calls of a request end with it when its caller leaves

An upstream that goes on with a request whose caller has left went on making calls for it, and those that were running ran to their end: the entry of a call knew its parent only while that ran, and on an open route a call without a parent runs like any other.

A call that is abandoned now ends the contexts of its nested calls, and its token is remembered (the last 4,096): a later call with it is refused as not run. A request whose context has ended is sent to no further upstream, so that a stream to another node, whose transport may write a request that is cancelled already, isn't opened.

--- a/authenticator/calls.go
+++ b/authenticator/calls.go
@@ -1,12 +1,14 @@
 package authenticator
 
 import (
+	"context"
 	"crypto/rand"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gypsumhoist/gypsumhoist"
+	"github.com/gypsumhoist/gypsumhoist/ringer"
 )
 
 // Call is a request that is running at this instance's upstream.
@@ -31,6 +33,10 @@
 	// Target is when the request at the entry of the call chain is due to meet its target, if waiting could make it miss that; else zero.
 	Target time.Time
 
+	// abandoned ends once nobody waits for the answer any more.
+	abandoned context.Context
+	abandon   context.CancelFunc
+
 	answered atomic.Int32
 	nested   atomic.Bool
 	refused  atomic.Bool
@@ -72,21 +78,31 @@
 // Refused reports whether a nested call was refused.
 func (cl *Call[B]) Refused() bool { return cl.refused.Load() }
 
+// Abandoned returns a context that ends once the call, which Begin has added, is abandoned.
+func (cl *Call[B]) Abandoned() context.Context { return cl.abandoned }
+
+// abandonedCallsMax is how many abandoned calls are remembered. Older ones count as unknown.
+const abandonedCallsMax = 4096
+
 // Calls maps the tokens that upstreams send along with nested calls to the calls in flight that those belong to.
 // It is safe for concurrent use. The zero value is not usable; call NewCalls.
 type Calls[B any] struct {
 	mu    sync.RWMutex
 	calls map[string]*Call[B]
+	// abandoned holds the tokens of the last abandonedCallsMax calls that ended by Abandon; order holds them from the oldest on.
+	abandoned map[string]struct{}
+	order     *ringer.Ring[string]
 }
 
 // NewCalls returns an empty set of calls.
 func NewCalls[B any]() *Calls[B] {
-	return &Calls[B]{calls: map[string]*Call[B]{}}
+	return &Calls[B]{calls: map[string]*Call[B]{}, abandoned: map[string]struct{}{}, order: ringer.New[string](abandonedCallsMax)}
 }
 
 // Begin adds a call and returns its token of 130 random bits.
 func (cs *Calls[B]) Begin(cl *Call[B]) string {
 	tok := rand.Text()
+	cl.abandoned, cl.abandon = context.WithCancel(context.Background())
 	cs.mu.Lock()
 	cs.calls[tok] = cl
 	cs.mu.Unlock()
@@ -100,6 +116,39 @@
 	cs.mu.Unlock()
 }
 
+// Abandon removes a call that nobody waits for any more, and remembers its token.
+func (cs *Calls[B]) Abandon(tok string) {
+	cs.mu.Lock()
+	cl := cs.calls[tok]
+	delete(cs.calls, tok)
+	if cl != nil {
+		cs.remember(tok)
+	}
+	cs.mu.Unlock()
+	if cl != nil {
+		cl.abandon()
+	}
+}
+
+// remember adds a token to the abandoned ones. The mutex is held.
+func (cs *Calls[B]) remember(tok string) {
+	if cs.order.Len() == abandonedCallsMax {
+		if oldest, ok := cs.order.Pop(); ok {
+			delete(cs.abandoned, oldest)
+		}
+	}
+	cs.order.Push(tok)
+	cs.abandoned[tok] = struct{}{}
+}
+
+// IsAbandoned reports whether a token is that of a call that ended by Abandon lately.
+func (cs *Calls[B]) IsAbandoned(tok string) bool {
+	cs.mu.RLock()
+	defer cs.mu.RUnlock()
+	_, ok := cs.abandoned[tok]
+	return ok
+}
+
 // Find returns the call in flight with the given token.
 func (cs *Calls[B]) Find(tok string) (*Call[B], bool) {
 	cs.mu.RLock()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,6 +27,9 @@
 	}
 	ah := &attemptHistory{}
 	for no := uint32(1); ; no++ {
+		if err := ctx.Err(); err != nil {
+			return ah.result(cl, withWorseVerdict(endedRefusal(err), ah.lastRefusal))
+		}
 		pk, err := fw.pick(cl, ah)
 		if err != nil {
 			return ah.result(cl, asRefusal(err))
@@ -58,6 +62,14 @@
 	}
 }
 
+// endedRefusal returns the refusal of a request whose context ended before it was sent.
+func endedRefusal(err error) *gypsumhoist.Refusal {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return gypsumhoist.NotRun(gypsumhoist.ReasonDeadline, 0, "the deadline passed before the request was sent")
+	}
+	return gypsumhoist.NotRun(gypsumhoist.ReasonCanceled, 0, "the caller went away before the request was sent")
+}
+
 // retryAnswer decides whether an answer is dropped for a further attempt. It must be a server error that arose at the upstream
 // itself, as a retry where the failure began repeats the least work. It must also have been read completely, so that it can
 // still be passed on if no further attempt gets an answer.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -117,6 +117,9 @@
 	tb := fw.holder.Current()
 	cl.revision = tb.Revision()
 	parent, ok := fw.calls.Find(tok)
+	if !ok && fw.calls.IsAbandoned(tok) {
+		return gypsumhoist.NotRun(gypsumhoist.ReasonCanceled, 0, "nobody waits for the request that this call belongs to")
+	}
 	if !ok {
 		return fw.resolveOpen(tb, req, cl, gypsumhoist.ReasonBadCall)
 	}
--- a/forwarder/local_run.go
+++ b/forwarder/local_run.go
@@ -36,7 +36,7 @@
 	abandoned := rn.ctx.Err() != nil
 	// The outcome is known already; closing only frees the connection.
 	_ = rn.rs.Body.Close()
-	rn.fw.calls.End(rn.callToken)
+	rn.endCall(abandoned && err != nil)
 	switch {
 	case err == nil:
 		if !isServerError(rn.rs.StatusCode) {
@@ -56,6 +56,15 @@
 	return rn.budget.Left()
 }
 
+// endCall ends the call for which the upstream may make nested ones. One that is abandoned ends those, too.
+func (rn *localRun) endCall(abandoned bool) {
+	if abandoned {
+		rn.fw.calls.Abandon(rn.callToken)
+		return
+	}
+	rn.fw.calls.End(rn.callToken)
+}
+
 // outcome judges a complete answer. A refusal caused by a service further down the chain says nothing about this upstream's
 // load, nor does one by an upstream that has room.
 func (rn *localRun) outcome() admitter.Outcome {
@@ -239,7 +248,7 @@
 
 // fail ends a call that got no answer.
 func (fw *Forwarder) fail(ctx context.Context, rn *localRun, rf *gypsumhoist.Refusal) {
-	fw.calls.End(rn.callToken)
+	rn.endCall(ctx.Err() != nil)
 	switch {
 	case rf.Verdict == gypsumhoist.VerdictNotRun:
 		rn.ticket.Done(admitter.OutcomeUnused)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -45,6 +45,9 @@
 	ctx, cancel := context.WithDeadline(req.Context(), cl.deadline.Add(verdictGrace))
 	defer cancel()
 	defer context.AfterFunc(fw.aborted, cancel)()
+	if cl.parent != nil {
+		defer context.AfterFunc(cl.parent.Abandoned(), cancel)()
+	}
 	fw.execute(ctx, wr, req, cl)
 }
 
