--- a/connector/pipeconn.go
+++ b/connector/pipeconn.go
@@ -50,9 +50,9 @@
 	readErr      error  // that ended the reception
 	readDeadline time.Time
 	readTimer    *time.Timer
-	// cancel ends the contexts of the requests; nil before the server has the connection.
-	cancel context.CancelFunc
+	// ctx is that of the connection's requests, and cancel ends it; nil before the server has the connection.
 	ctx    context.Context
+	cancel context.CancelFunc
 
 	slots []*responseSlot
 	// current is the slot of the request that the server reads or runs on this connection.
@@ -82,11 +82,7 @@
 	size := pipeReadBytes
 	buf := make([]byte, size)
 	for {
-		room, ok := pc.waitForRoom(size)
-		if !ok {
-			return
-		}
-		num, err := pc.Conn.Read(buf[:room])
+		num, err := pc.Conn.Read(buf[:pc.waitForRoom(size)])
 		pc.receive(buf[:num], err)
 		if err != nil {
 			return
@@ -102,26 +98,22 @@
 	}
 }
 
-// waitForRoom waits until the buffer has room and returns how much, size at most; false once the connection has ended.
-func (pc *pipeConn) waitForRoom(size int) (int, bool) {
+// waitForRoom waits until the buffer has room and returns how much, size at most.
+func (pc *pipeConn) waitForRoom(size int) int {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	for {
+	for !pc.discarding {
 		room := pipeKeepBytes + int(pc.ahead) - len(pc.buffered)
 		if room <= 0 && pc.ahead < pipeAheadBytes && pc.listener.accountant.tryPipelined(pc.listener.port, aheadStep) {
 			pc.ahead += aheadStep
 			room += aheadStep
 		}
-		switch {
-		case pc.discarding:
-			return size, true
-		case pc.closed:
-			return 0, false
-		case room > 0:
-			return min(room, size), true
+		if room > 0 {
+			return min(room, size)
 		}
 		pc.arrived.Wait()
 	}
+	return size
 }
 
 // receive takes what was read. An error ends the connection and the contexts of its requests: nobody waits for their responses.
@@ -138,7 +130,7 @@
 	pc.arrived.Broadcast()
 }
 
-// end marks the connection as closed: nothing more is sent or passed to the server. The mutex is held.
+// end marks the connection as closed: nothing more is sent or passed to the server, and its requests end. The mutex is held.
 func (pc *pipeConn) end() {
 	pc.closed = true
 	if pc.readTimer != nil {
