--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -113,9 +113,11 @@
 }
 
 // startUpstream starts an upstream with room for every client of a crowd.
-func (ps *process) startUpstream() {
-	up := emulator.NewUpstream("slips-1", "slips", emulator.WithAddress(freeAddresses(ps.t, 1)[0]), emulator.WithNode(ps.upstream),
-		emulator.WithSlots(upstreamSlots, upstreamSlots))
+func (ps *process) startUpstream(opts ...emulator.Option) {
+	opts = append([]emulator.Option{
+		emulator.WithAddress(freeAddresses(ps.t, 1)[0]), emulator.WithNode(ps.upstream), emulator.WithSlots(upstreamSlots, upstreamSlots),
+	}, opts...)
+	up := emulator.NewUpstream("slips-1", "slips", opts...)
 	if err := up.Start(); err != nil {
 		ps.t.Fatal(err)
 	}
