allocator: a confirmed release does not end a share that was sent again

Found by reading. A node that went back to a keeper while its request to release the share was on its way took the share for free when that was confirmed, although the keeper counted it again. And a message that got no answer barred releases to its keeper for good.

A release counts only if no message with the share was sent since; a message without an answer bars releases until it can't count any more.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -136,7 +136,7 @@
 	started := clocker.Now()
 	al := &Allocator{
 		self: self, domain: domain, started: started, reportNow: make(chan struct{}, 1), fetchNow: make(chan struct{}, 1),
-		assignment: assignment{hold: shareHold, maxAge: shareHold},
+		assignment: assignment{hold: shareHold, legacyHold: legacyShareHold, maxAge: shareHold},
 		keeper:     NewKeeper(domain), home: NewHome(), lending: map[gypsumhoist.FailureDomain]bool{}, limits: map[Key]Limit{},
 		avoidUntil:    map[gypsumhoist.Instance]time.Time{},
 		grantsArrived: make(chan struct{}), taken: &metrics.Counter{}, refused: &metrics.Counter{},
--- a/allocator/assignment.go
+++ b/allocator/assignment.go
@@ -11,15 +11,18 @@
 // time however late the message arrives. The next holder gets the share once the last one has stopped or has confirmed a release.
 // It reads no clock and is not safe for concurrent use.
 type assignment struct {
-	hold time.Duration
+	// hold is how long a holder counts the share, legacyHold how long one of an older build does, from the arrival of the message.
+	hold, legacyHold time.Duration
 	// maxAge is how old the stamp of a message may be.
 	maxAge time.Duration
 
 	holder gypsumhoist.Instance
 	// until is when the holder has stopped to count the share at the latest.
 	until time.Time
-	// pending is set once a message to the holder may still be on its way, although it got no answer.
-	pending bool
+	// pendingUntil is when messages that got no answer, and may still arrive, don't count any more.
+	pendingUntil time.Time
+	// messages counts those that carried the share.
+	messages uint64
 
 	// stamp is from the last answer, which issuer sent and which arrived at receivedAt. It is zero if issuer is an older build.
 	issuer     gypsumhoist.Instance
@@ -32,13 +35,11 @@
 	if as.issuer != to || now.Sub(as.receivedAt) > as.maxAge || as.holder != to && now.Before(as.until) {
 		return 0, false
 	}
-	if as.holder != to {
-		as.holder, as.pending = to, false
-	}
+	as.holder = to
+	as.messages++
 	end := as.receivedAt.Add(as.hold)
 	if as.stamp == 0 {
-		// An older build counts the share from the arrival.
-		end = now.Add(as.hold)
+		end = now.Add(as.legacyHold)
 	}
 	if end.After(as.until) {
 		as.until = end
@@ -54,18 +55,27 @@
 // failed records that a message got no answer.
 func (as *assignment) failed(to gypsumhoist.Instance) {
 	if as.holder == to {
-		as.pending = true
+		as.pendingUntil = as.until
 	}
 }
 
-// releasable returns the holder if it is not the given instance, still counts the share, and would stop on request.
-func (as *assignment) releasable(now time.Time, next gypsumhoist.Instance) (gypsumhoist.Instance, bool) {
-	return as.holder, as.holder != "" && as.holder != next && !as.pending && now.Before(as.until)
+// release is a request to a holder to count the share no more.
+type release struct {
+	holder gypsumhoist.Instance
+	// messages is the value of the assignment's when the request was sent.
+	messages uint64
+}
+
+// beginRelease returns a release for the holder, if that is not the given instance, still counts the share, and has no message on its way that
+// the release could overtake.
+func (as *assignment) beginRelease(now time.Time, next gypsumhoist.Instance) (release, bool) {
+	ok := as.holder != next && now.Before(as.until) && !now.Before(as.pendingUntil)
+	return release{holder: as.holder, messages: as.messages}, ok
 }
 
-// released records that an instance has confirmed that it counts the share no more.
-func (as *assignment) released(now time.Time, from gypsumhoist.Instance) {
-	if as.holder == from && !as.pending && now.Before(as.until) {
+// released records that the holder has confirmed a release. That means nothing if it has been sent the share again meanwhile.
+func (as *assignment) released(now time.Time, rl release) {
+	if as.messages == rl.messages && now.Before(as.until) {
 		as.until = now
 	}
 }
--- a/allocator/lending.go
+++ b/allocator/lending.go
@@ -72,7 +72,7 @@
 func (kp *Keeper) loanOut(domain gypsumhoist.FailureDomain) *assignment {
 	lo := kp.loansOut[domain]
 	if lo == nil {
-		lo = &assignment{hold: loanHold, maxAge: homeTimeout}
+		lo = &assignment{hold: loanHold, legacyHold: legacyLoanHold, maxAge: homeTimeout}
 		kp.loansOut[domain] = lo
 	}
 	return lo
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -105,24 +105,22 @@
 func (al *Allocator) releaseShare(next gypsumhoist.Instance) {
 	now := clocker.Now()
 	al.mu.Lock()
-	holder, ok := al.assignment.releasable(now, next)
-	at := slices.IndexFunc(al.members[al.domain], func(mb Member) bool { return mb.Instance == holder })
-	var to Member
-	if ok = ok && at >= 0; ok {
-		to = al.members[al.domain][at]
-		ok = !time.Now().Before(al.avoidUntil[holder])
-	}
-	al.mu.Unlock()
-	if !ok {
+	rl, ok := al.assignment.beginRelease(now, next)
+	at := slices.IndexFunc(al.members[al.domain], func(mb Member) bool { return mb.Instance == rl.holder })
+	if !ok || at < 0 || time.Now().Before(al.avoidUntil[rl.holder]) {
+		al.mu.Unlock()
 		return
 	}
+	to := al.members[al.domain][at]
+	al.mu.Unlock()
 	al.tmb.Go(func() error {
 		if _, _, err := al.exchangeReport(to, share{known: true}, nil); err != nil {
+			// The holder stops by itself.
 			return nil
 		}
 		al.mu.Lock()
 		defer al.mu.Unlock()
-		al.assignment.released(clocker.Now(), holder)
+		al.assignment.released(clocker.Now(), rl)
 		return nil
 	})
 }
