allocator: loans of idle nodes' shares don't lapse now and then

A node whose rows are all centralized reports every 0.48 s. Its share counted for 1.5 s from a stamp that was one report old, so that a third of the time it no longer covered a loan of 0.7 s; the keeper then sent a loan of 0, which ended the last one at the home. The home's share fell to 0.65.

--- a/allocator/fleet_test.go
+++ b/allocator/fleet_test.go
@@ -118,6 +118,8 @@
 	for _, mb := range fl.members {
 		mb.al.Stop()
 	}
+	// Calls to slow members that nobody waits for end.
+	time.Sleep(time.Second)
 }
 
 // restart stops all processes at once and starts new ones.
--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -12,7 +12,7 @@
 const (
 	// shareHold is how long a keeper counts the share of a node, from when it issued the stamp that came with it. It covers a loan of the
 	// share (loanHold) and two reports of an idle node.
-	shareHold = 1500 * time.Millisecond
+	shareHold = 1800 * time.Millisecond
 	// legacyShareHold is how long a keeper counts the share of a node of an older build, from the arrival of its last report. Such a node fills
 	// a standby bucket leaseDuration after it sent its last answered report.
 	legacyShareHold = leaseDuration - 100*time.Millisecond
--- a/allocator/lending.go
+++ b/allocator/lending.go
@@ -58,7 +58,7 @@
 func (kp *Keeper) Lend(now time.Time, domain gypsumhoist.FailureDomain, home gypsumhoist.Instance) Loan {
 	lo := kp.loanOut(domain)
 	// Nodes that may go over to another keeper before the loan ends don't count.
-	share := kp.shareUntil(now, now.Add(loanHold))
+	share := kp.shareUntil(now, lo.receivedAt.Add(loanHold))
 	if share == 0 {
 		return Loan{}
 	}
