--- a/allocator/assignment.go
+++ b/allocator/assignment.go
@@ -83,15 +83,15 @@
 // assigned reports whether an instance may count the share at a time.
 func (as *assignment) assigned(now time.Time) bool { return now.Before(as.until) }
 
-// share is the part of a message that says whether the sender's share comes with it.
-type share struct {
+// sentShare is the part of a message that says whether the sender's share comes with it.
+type sentShare struct {
 	// known is false for a sender of an older build, whose share counts from the arrival.
 	known bool
 	stamp Stamp // zero if the share does not come with the message
 }
 
 // until returns until when a share counts that arrives now.
-func (sh share) until(now time.Time, sc *stampClock, hold, legacyHold time.Duration) time.Time {
+func (sh sentShare) until(now time.Time, sc *stampClock, hold, legacyHold time.Duration) time.Time {
 	if !sh.known {
 		return now.Add(legacyHold)
 	}
--- a/allocator/assignment_test.go
+++ b/allocator/assignment_test.go
@@ -65,7 +65,7 @@
 				until[dl.holder] = time.Time{}
 				kept = append(kept, delivery{now.Add(delay()), dl.holder, true, 0, dl.release, dl.sent})
 			default:
-				end := share{known: true, stamp: dl.stamp}.until(now, &clocks[dl.holder], shareHold, legacyShareHold)
+				end := sentShare{known: true, stamp: dl.stamp}.until(now, &clocks[dl.holder], shareHold, legacyShareHold)
 				if dl.stamp == 0 || end.After(until[dl.holder]) {
 					until[dl.holder] = end
 				}
--- a/allocator/call.go
+++ b/allocator/call.go
@@ -60,7 +60,7 @@
 }
 
 // handleReport applies the report of a node to this node's keeper.
-func (al *Allocator) handleReport(node gypsumhoist.Instance, sh share, reports []RowReport) ([]Grant, Stamp) {
+func (al *Allocator) handleReport(node gypsumhoist.Instance, sh sentShare, reports []RowReport) ([]Grant, Stamp) {
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	grants, stamp := al.keeper.Report(clocker.Now(), node, sh, reports)
@@ -73,11 +73,11 @@
 }
 
 // shareOf returns what a message with an echo, or without one, says about its sender's share.
-func shareOf(echo *uint64) share {
+func shareOf(echo *uint64) sentShare {
 	if echo == nil {
-		return share{}
+		return sentShare{}
 	}
-	return share{known: true, stamp: Stamp(*echo)}
+	return sentShare{known: true, stamp: Stamp(*echo)}
 }
 
 // shareLogInterval is the minimum time between two log events about the share that this node's keeper counts.
@@ -112,7 +112,7 @@
 	al.mu.Lock()
 	stamp, _ := al.assignment.assign(clocker.Now(), mb.Instance)
 	al.mu.Unlock()
-	grants, answer, err := al.exchangeReport(mb, share{known: true, stamp: stamp}, reports)
+	grants, answer, err := al.exchangeReport(mb, sentShare{known: true, stamp: stamp}, reports)
 	al.mu.Lock()
 	defer al.mu.Unlock()
 	if err != nil {
@@ -124,7 +124,7 @@
 }
 
 // exchangeReport sends a report and returns the grants and the stamp of the answer.
-func (al *Allocator) exchangeReport(mb Member, sh share, reports []RowReport) ([]Grant, Stamp, error) {
+func (al *Allocator) exchangeReport(mb Member, sh sentShare, reports []RowReport) ([]Grant, Stamp, error) {
 	if mb.Instance == al.self {
 		grants, stamp := al.handleReport(al.self, sh, reports)
 		return grants, stamp, nil
--- a/allocator/home.go
+++ b/allocator/home.go
@@ -80,7 +80,7 @@
 
 // Borrow starts or renews the loan of a lender, an instance of another domain, and returns the stamp of the answer. A request without a share
 // leaves an earlier loan to its end.
-func (hm *Home) Borrow(now time.Time, ownShare float64, lender gypsumhoist.Instance, sh share, fraction float64) Stamp {
+func (hm *Home) Borrow(now time.Time, ownShare float64, lender gypsumhoist.Instance, sh sentShare, fraction float64) Stamp {
 	hm.updateShare(now, ownShare)
 	if until := sh.until(now, &hm.stamps, loanHold, legacyLoanHold); until.After(now) {
 		hm.loans[lender] = loan{share: min(max(fraction, 0), 1), until: until}
--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -153,7 +153,7 @@
 }
 
 // Report applies the report of a node on all rows of which it holds or needs tokens. It returns what the node is granted, and the stamp of the answer.
-func (kp *Keeper) Report(now time.Time, node gypsumhoist.Instance, sh share, reports []RowReport) ([]Grant, Stamp) {
+func (kp *Keeper) Report(now time.Time, node gypsumhoist.Instance, sh sentShare, reports []RowReport) ([]Grant, Stamp) {
 	kp.advance(now)
 	until := sh.until(now, &kp.stamps, shareHold, legacyShareHold)
 	if before := kp.members[node]; sh.stamp != 0 && before.After(until) {
--- a/allocator/report.go
+++ b/allocator/report.go
@@ -114,7 +114,7 @@
 	to := al.members[al.domain][at]
 	al.mu.Unlock()
 	al.tmb.Go(func() error {
-		if _, _, err := al.exchangeReport(to, share{known: true}, nil); err != nil {
+		if _, _, err := al.exchangeReport(to, sentShare{known: true}, nil); err != nil {
 			// The holder stops by itself.
 			return nil
 		}
