claimer: a test does not claim at the moment of a retry

The test heals the group after 5 s and claims at once, expecting the refusal of a claim whose end is not stored yet; pending ends are retried every 250 ms, so one retry is due at that very moment, and may come first.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -129,7 +129,8 @@
 		gr := cl.Claim(ctx, rq).(claimer.Granted)
 		gs.setFault(func() (bool, error) { return false, errLost })
 		g.Expect(cl.Finish(ctx, gr, claimer.Answer{Status: 200})).NotTo(Succeed())
-		time.Sleep(5 * time.Second)
+		// Not at the moment of a retry, which would race with the claim below.
+		time.Sleep(5*time.Second + 100*time.Millisecond)
 		gs.setFault(nil)
 		g.Expect(refused(cl.Claim(ctx, rq))).To(Equal("409 may_have_run duplicate"))
 		time.Sleep(time.Second)
