forwarder: a test of an abandoned call waits for its answer

The test returned as soon as the called upstream had seen the end of its request, which stops the fleet and cuts the connection on which the calling upstream still waits for its answer. 37 of 800 runs failed. The test now waits until that answer has arrived, which asks for more than before: 0 of 2,000 runs fail.

--- a/forwarder/abandoned_test.go
+++ b/forwarder/abandoned_test.go
@@ -50,8 +50,10 @@
 
 	It("ends the nested calls that are running", withFleet(func(fl *fleet) {
 		var front *node
+		answered := make(chan struct{})
 		front = fl.add("slips-1", func(_ http.ResponseWriter, req *http.Request) {
 			fl.nestedCall(front, "GET", "/roster/7", req.Header.Get(gypsumhoist.HeaderCall))
+			close(answered)
 		})
 		ended := make(chan time.Time, 1)
 		fl.add("roster-1", func(_ http.ResponseWriter, req *http.Request) {
@@ -65,6 +67,8 @@
 		leave(fl, front, 200*time.Millisecond)
 		left := time.Now()
 		Expect((<-ended).Sub(left)).To(BeNumerically("<", 100*time.Millisecond))
+		// The fleet is stopped when the test returns, which cuts connections that still wait for an answer.
+		<-answered
 	}))
 
 	It("is sent to no further upstream", withFleet(func(fl *fleet) {
