--- a/connector/pipeconn.go
+++ b/connector/pipeconn.go
@@ -340,24 +340,22 @@
 // dispatchPipelined dispatches pipelined requests until the read deadline passes or the connection ends. One that can't be dispatched waits,
 // with all behind it, until the server reads it.
 func (pc *pipeConn) dispatchPipelined() error {
-	seen := 0
 	for {
-		head, err := pc.awaitHead(seen)
+		head, err := pc.awaitHead()
 		if err != nil {
 			return err
 		}
 		if head == nil || !canRunConcurrently(head) || !pc.dispatch(head) {
 			return pc.awaitEnd()
 		}
-		seen = 0
 	}
 }
 
 // awaitHead waits for the head of the next request and returns a copy of it, without taking it. It returns nil for one that is too long to be parsed.
-func (pc *pipeConn) awaitHead(seen int) ([]byte, error) {
+func (pc *pipeConn) awaitHead() ([]byte, error) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	for {
+	for seen := 0; ; {
 		if err := pc.await(seen); err != nil {
 			return nil, err
 		}
