gossiper: a seed that has left is contacted again soon

Cause: a bridge contacts seeds that have answered once in 10 to 30 s. A seed that leaves and comes back knowing nobody is in a fleet of its own until then, with the others that have restarted, and both fleets hand out the whole rate: the log shows rate keepers n2 and n5 side by side. Fix: a seed whose member has left counts as unknown, and is contacted every 2 s, from 2 s after it has left.

--- a/gossiper/contact.go
+++ b/gossiper/contact.go
@@ -44,15 +44,28 @@
 	}
 }
 
-// unknownSeeds returns the seeds that have never answered and whose address is that of no present member.
+// unknownSeeds returns the seeds whose address is that of no present member, and that have never answered or whose member has left: it may come
+// back without knowing anyone.
 func (cr *Core) unknownSeeds() []netip.AddrPort {
 	known := maps.Clone(cr.answeredSeeds)
+	for _, rec := range cr.records {
+		if rec.member.Status == StatusLeft {
+			delete(known, rec.member.Peer)
+		}
+	}
 	for _, rec := range cr.records {
 		known[rec.member.Peer] = known[rec.member.Peer] || rec.member.present()
 	}
 	return slices.DeleteFunc(slices.Clone(cr.seeds), func(ap netip.AddrPort) bool { return known[ap] })
 }
 
+// seedLeft schedules a contact to a seed that has just left.
+func (cr *Core) seedLeft() {
+	if at := cr.now.Add(unknownSeedInterval); at.Before(cr.nextSeedAt) {
+		cr.nextSeedAt = at
+	}
+}
+
 // reconnect contacts a random unreachable member of this instance's domain.
 func (cr *Core) reconnect() {
 	if cr.now.Before(cr.reconnectAt) || cr.hasLeft() {
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -109,6 +109,9 @@
 	if old == nil || old.Status != rec.member.Status || old.Boot != rec.member.Boot {
 		cr.emit(MemberChanged{Member: rec.member})
 	}
+	if rec.member.Status == StatusLeft && slices.Contains(cr.seeds, rec.member.Peer) {
+		cr.seedLeft()
+	}
 	if ln := cr.links[from]; ln != nil {
 		delete(ln.members, rec.member.Instance)
 	}
--- a/gossiper/repair_test.go
+++ b/gossiper/repair_test.go
@@ -83,6 +83,21 @@
 		}
 	})
 
+	It("from the restart of the only seed after it has left", func() {
+		for seed := range uint64(20) {
+			sim := newSimulation(seed, 6, 1)
+			sim.advance(60 * time.Second)
+			founder := sim.nodes[0]
+			sim.input(founder, gossiper.Left{})
+			sim.advance(300 * time.Millisecond)
+			sim.crash(founder)
+			sim.advance(time.Second)
+			sim.start(founder)
+			took := sim.advanceUntil(60*time.Second, func() bool { return sim.allSeeAlive(sim.nodes) })
+			Expect(took).To(BeNumerically("<=", 3*time.Second), "seed %d", seed)
+		}
+	})
+
 	It("from a clock that went back, as the restarted instance raises its incarnation above its old record's", func() {
 		sim := newSimulation(1, 4, 1)
 		sim.advance(5 * time.Second)
