crowd: half of a fleet restarts with another build

Six real processes, an upstream each, and callers that ask for three times the rate; half of the processes are restarted at once, with another build of the program if GYPSUMHOIST_OLDER_BUILD names one, and back, and then the other half. The fleet has to serve half of the rate, and no 5 s may have more requests than rate and burst allow.

--- a/crowd/doc.go
+++ b/crowd/doc.go
@@ -4,4 +4,6 @@
 // one crowd of some hundred clients, and checks three things: the process lives, its memory and open descriptors stay under a bound, and an
 // ordinary request is answered afterwards. Memory is what is resident and what the kernel holds for the process's sockets: received and not
 // read, or written and not acknowledged. The tests check no times and no shares of served requests, and run one at a time.
+//
+// One test is not of a crowd: it restarts half of a fleet with another build, and checks that it serves and that a rate holds.
 package crowd
--- a/crowd/pause_test.go
+++ b/crowd/pause_test.go
@@ -20,7 +20,7 @@
 		var runs atomic.Int64
 		ps := launch(t, settings{})
 		ps.startUpstream(emulator.WithServiceTime(200*time.Millisecond, 0), emulator.WithObserver(func(checker.Run) { runs.Add(1) }))
-		ps.prepareTable()
+		ps.prepareTable(ampleRate, ampleRate)
 		ps.mustServe()
 		runs.Store(0)
 		if err := ps.command.Process.Signal(syscall.SIGSTOP); err != nil {
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -1,6 +1,7 @@
 package crowd_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -34,6 +35,8 @@
 	ownDescriptors = 128
 	// upstreamSlots is how many requests the upstream runs at a time, and how many connections it accepts.
 	upstreamSlots = 1000
+	// ampleRate is a rate in requests per second that no crowd reaches.
+	ampleRate = 100_000
 )
 
 // Times of a test.
@@ -47,8 +50,15 @@
 type settings struct {
 	connections int
 	headerBytes int
-	// seed makes the process a node that joins another one.
-	seed netip.AddrPort
+	// instance is n1 by default.
+	instance gypsumhoist.Instance
+	// nodeOnly takes away the role control.
+	nodeOnly bool
+	// seeds are the peers' addresses of processes to join.
+	seeds []netip.AddrPort
+	// host is the loopback address of the process, 127.0.0.1 by default; peers is its peers' address, by default one that is free.
+	host  netip.Addr
+	peers netip.AddrPort
 }
 
 // binary is the file of the program under test, built by TestMain.
@@ -74,6 +84,7 @@
 // process is a running process of the system with its upstream.
 type process struct {
 	t                                  *testing.T
+	folder                             string
 	command                            *exec.Cmd
 	callers, upstream, peers, operator netip.AddrPort
 	key                                string
@@ -88,7 +99,7 @@
 	t.Helper()
 	ps := launch(t, st)
 	ps.startUpstream()
-	ps.prepareTable()
+	ps.prepareTable(ampleRate, ampleRate)
 	ps.mustServe()
 	ps.warmUp()
 	go ps.sample()
@@ -99,10 +110,10 @@
 func startPair(t *testing.T, st settings) (entry, far *process) {
 	t.Helper()
 	entry = launch(t, st)
-	st.seed = entry.peers
+	st.instance, st.nodeOnly, st.seeds = "n2", true, []netip.AddrPort{entry.peers}
 	far = launch(t, st)
 	far.startUpstream()
-	entry.prepareTable()
+	entry.prepareTable(ampleRate, ampleRate)
 	far.key = entry.key
 	entry.mustServe()
 	far.mustServe()
@@ -115,7 +126,7 @@
 // startUpstream starts an upstream with room for every client of a crowd.
 func (ps *process) startUpstream(opts ...emulator.Option) {
 	opts = append([]emulator.Option{
-		emulator.WithAddress(freeAddresses(ps.t, 1)[0]), emulator.WithNode(ps.upstream), emulator.WithSlots(upstreamSlots, upstreamSlots),
+		emulator.WithAddress(freeAddresses(ps.t, localhost, 1)[0]), emulator.WithNode(ps.upstream), emulator.WithSlots(upstreamSlots, upstreamSlots),
 	}, opts...)
 	up := emulator.NewUpstream("slips-1", "slips", opts...)
 	if err := up.Start(); err != nil {
@@ -127,43 +138,55 @@
 // launch starts a process.
 func launch(t *testing.T, st settings) *process {
 	t.Helper()
-	addrs := freeAddresses(t, 4)
-	ps := &process{t: t, callers: addrs[0], upstream: addrs[1], peers: addrs[2], operator: addrs[3], exited: make(chan struct{})}
-	folder := t.TempDir()
-	file := filepath.Join(folder, "settings.toml")
-	if err := os.WriteFile(file, []byte(ps.settingsText(folder, st)), 0o600); err != nil {
-		t.Fatal(err)
+	if !st.host.IsValid() {
+		st.host = localhost
 	}
-	ps.command = exec.Command(binary, "serve", file)
-	log, err := os.Create(filepath.Join(folder, "log"))
-	if err != nil {
-		t.Fatal(err)
+	addrs := freeAddresses(t, st.host, 4)
+	if st.peers.IsValid() {
+		addrs[2] = st.peers
 	}
-	ps.command.Stdout, ps.command.Stderr = log, log
-	if err := ps.command.Start(); err != nil {
+	ps := &process{t: t, folder: t.TempDir(), callers: addrs[0], upstream: addrs[1], peers: addrs[2], operator: addrs[3]}
+	if err := os.WriteFile(filepath.Join(ps.folder, "settings.toml"), []byte(ps.settingsText(st)), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	go func() {
-		// The exit status does not matter: the process is killed at the end of the test.
-		_ = ps.command.Wait()
-		close(ps.exited)
-	}()
+	ps.start(binary)
 	t.Cleanup(func() {
 		// An error means that the process has ended already.
 		_ = ps.command.Process.Kill()
 		<-ps.exited
-		_ = log.Close()
 		if t.Failed() {
-			t.Logf("end of the process's log:\n%s", tail(log.Name()))
+			t.Logf("end of the process's log:\n%s", tail(filepath.Join(ps.folder, "log")))
 		}
 	})
 	return ps
 }
 
-func (ps *process) settingsText(folder string, st settings) string {
-	instance, roles := "n1", `"node", "control"`
-	if st.seed.IsValid() {
-		instance, roles = "n2", `"node"`
+// start starts a program in the process's folder.
+func (ps *process) start(program string) {
+	ps.t.Helper()
+	log, err := os.OpenFile(filepath.Join(ps.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		ps.t.Fatal(err)
+	}
+	cmd := exec.Command(program, "serve", filepath.Join(ps.folder, "settings.toml"))
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		ps.t.Fatal(err)
+	}
+	exited := make(chan struct{})
+	ps.command, ps.exited = cmd, exited
+	go func() {
+		// The exit status does not matter: the process is killed at the end of the test.
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+}
+
+func (ps *process) settingsText(st settings) string {
+	instance, roles := cmp.Or(st.instance, "n1"), `"node", "control"`
+	if st.nodeOnly {
+		roles = `"node"`
 	}
 	text := fmt.Sprintf(`instance = %q
 failure_domain = "hobart"
@@ -180,25 +203,31 @@
 off = true
 [bounds]
 header_time = "10s"
-`, instance, roles, filepath.Join(folder, "data"), ps.callers, ps.upstream, ps.peers, ps.operator)
+`, instance, roles, filepath.Join(ps.folder, "data"), ps.callers, ps.upstream, ps.peers, ps.operator)
 	if st.connections > 0 {
 		text += fmt.Sprintf("connections = %d\n", st.connections)
 	}
 	if st.headerBytes > 0 {
 		text += fmt.Sprintf("header_bytes = %d\n", st.headerBytes)
 	}
-	if st.seed.IsValid() {
-		text += fmt.Sprintf("[peers]\nseeds = [%q]\n", st.seed)
+	if len(st.seeds) > 0 {
+		var quoted []string
+		for _, seed := range st.seeds {
+			quoted = append(quoted, strconv.Quote(seed.String()))
+		}
+		text += fmt.Sprintf("[peers]\nseeds = [%s]\n", strings.Join(quoted, ", "))
 	}
 	return text
 }
 
-// freeAddresses returns loopback addresses whose ports are free now.
-func freeAddresses(t *testing.T, count int) []netip.AddrPort {
+var localhost = netip.MustParseAddr("127.0.0.1")
+
+// freeAddresses returns ports of a loopback address that are free now.
+func freeAddresses(t *testing.T, host netip.Addr, count int) []netip.AddrPort {
 	t.Helper()
 	var out []netip.AddrPort
 	for range count {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -209,12 +238,12 @@
 }
 
 // prepareTable adds a row and a key.
-func (ps *process) prepareTable() {
+func (ps *process) prepareTable(rate, burst int) {
 	ps.t.Helper()
 	operators := registrarpb.NewOfficeClient(newClient(), "http://"+ps.operator.String(), connect.WithProtoJSON())
 	row := &registrarpb.EditRowRequest{
 		Workspace: "school", Route: "/slips", EditId: "row",
-		Values: map[string]string{"service": "slips", "rate": "100000", "burst": "100000"},
+		Values: map[string]string{"service": "slips", "rate": strconv.Itoa(rate), "burst": strconv.Itoa(burst)},
 	}
 	ps.retry("edit the row", func(ctx context.Context) error {
 		_, err := operators.EditRow(ctx, connect.NewRequest(row))
