--- a/gossiper/contact.go
+++ b/gossiper/contact.go
@@ -27,7 +27,7 @@
 	if len(seeds) == 0 {
 		seeds = cr.seeds
 	} else if len(cr.links) > 0 {
-		cr.nextSeedAt = cr.now.Add(cr.unknownSeedInterval())
+		cr.nextSeedAt = cr.now.Add(cr.seedInterval())
 	}
 	count := 1
 	if len(cr.links) == 0 {
@@ -59,9 +59,9 @@
 	return slices.DeleteFunc(slices.Clone(cr.seeds), func(ap netip.AddrPort) bool { return known[ap] })
 }
 
-// unknownSeedInterval returns after which time a bridge contacts the next unknown seed. While a seed that has just left may come back, that is
+// seedInterval returns after which time a bridge contacts the next unknown seed. While a seed that has just left may come back, that is
 // soon: instances that start with it would take themselves for the whole fleet.
-func (cr *Core) unknownSeedInterval() time.Duration {
+func (cr *Core) seedInterval() time.Duration {
 	if cr.now.Before(cr.seedReturnsUntil) {
 		return joinInterval
 	}
