--- a/crowd/doc.go
+++ b/crowd/doc.go
@@ -5,5 +5,6 @@
 // ordinary request is answered afterwards. Memory is what is resident and what the kernel holds for the process's sockets: received and not
 // read, or written and not acknowledged. The tests check no times and no shares of served requests, and run one at a time.
 //
-// One test is not of a crowd: it restarts half of a fleet with another build, and checks that it serves and that a rate holds.
+// The tests of restart_test.go are not of crowds: they restart half of a fleet, with the same build or another one, and check that the fleet
+// goes on serving and that a rate holds.
 package crowd
--- a/crowd/builds_test.go
+++ b/crowd/restart_test.go
@@ -17,19 +17,19 @@
 	"github.com/gypsumhoist/gypsumhoist/emulator"
 )
 
-// Environment variables of the test.
-const (
-	// olderBuildVariable names the file of another build of the program; without it, the fleet is restarted with its own build.
-	olderBuildVariable = "GYPSUMHOIST_OLDER_BUILD"
-	// oneSeedVariable, if set, leaves the fleet a single seed.
-	oneSeedVariable = "GYPSUMHOIST_ONE_SEED"
-)
+// olderBuildVariable names the file of another build of the program; without it, the fleet is restarted with its own build.
+const olderBuildVariable = "GYPSUMHOIST_OLDER_BUILD"
 
-// The rate of the workspace in requests per second, its burst, and how many times the rate its callers ask for.
+// Parameters of the fleet.
 const (
-	mixedRate   = 100
-	mixedBurst  = 100
-	mixedDemand = 3
+	fleetSize = 6
+	// fleetRate is the rate of the workspace in requests per second, and fleetBurst its burst in requests.
+	fleetRate  = 100
+	fleetBurst = 100
+	// fleetDemand is how many times the rate the callers ask for.
+	fleetDemand = 3
+	// settleTime is how long the fleet is left alone before and after a restart.
+	settleTime = 3 * time.Second
 )
 
 // noAnswer is counted for a request that gets no answer, as its process has stopped.
@@ -41,29 +41,24 @@
 	if other == "" {
 		other = binary
 	}
-	ft := startFleet(t, 6)
+	// One of the seeds is in each half.
+	ft := startFleet(t, 0, fleetSize/2)
 	ft.send()
-	half := len(ft.processes) / 2
-	for _, step := range []struct {
-		processes []*process
-		program   string
-	}{
-		{ft.processes[half:], other},
-		{ft.processes[half:], binary},
-		{ft.processes[:half], other},
-		{ft.processes[:half], binary},
-	} {
-		time.Sleep(3 * time.Second)
-		restart(step.processes, step.program)
-		from := time.Now()
-		ft.mustServe()
-		time.Sleep(3 * time.Second)
-		took := time.Since(from)
-		served := ft.runsBetween(from, from.Add(took))
-		t.Logf("%d requests ran in %v after a restart", served, took.Round(time.Millisecond))
-		if least := mixedRate * took.Seconds() / 2; float64(served) < least {
-			t.Errorf("%d requests ran in %v, %.0f are half of the rate", served, took, least)
-		}
+	first, second := ft.processes[:fleetSize/2], ft.processes[fleetSize/2:]
+	ft.restart(second, other)
+	ft.restart(second, binary)
+	ft.restart(first, other)
+	ft.restart(first, binary)
+	ft.stopSending()
+	ft.checkRate()
+}
+
+// Guards against a seed that comes back knowing nobody and, with those that restart with it, hands out the whole rate beside the others.
+func TestRateHoldsWhenHalfOfFleetRestartsWithItsOnlySeed(t *testing.T) {
+	ft := startFleet(t, 0)
+	ft.send()
+	for range 2 {
+		ft.restart(ft.processes[:fleetSize/2], binary)
 	}
 	ft.stopSending()
 	ft.checkRate()
@@ -81,11 +76,12 @@
 	answers map[string]int
 }
 
-func startFleet(t *testing.T, count int) *fleet {
+// startFleet starts a fleet whose seeds are the processes with the given indices.
+func startFleet(t *testing.T, seedIndices ...int) *fleet {
 	t.Helper()
 	ft := &fleet{t: t, stop: make(chan struct{}), answers: map[string]int{}}
 	var all []settings
-	for num := range count {
+	for num := range fleetSize {
 		// No connection has this address as its source, so that the ports stay free while a process restarts.
 		host := netip.AddrFrom4([4]byte{127, 0, 1, byte(num + 1)})
 		all = append(all, settings{
@@ -93,10 +89,9 @@
 			host: host, peers: freeAddresses(t, host, 1)[0],
 		})
 	}
-	// One of the seeds is in each half.
-	seeds := []netip.AddrPort{all[0].peers, all[count/2].peers}
-	if os.Getenv(oneSeedVariable) != "" {
-		seeds = seeds[:1]
+	var seeds []netip.AddrPort
+	for _, ix := range seedIndices {
+		seeds = append(seeds, all[ix].peers)
 	}
 	for _, st := range all {
 		st.seeds = seeds
@@ -104,7 +99,7 @@
 		ps.startUpstream(emulator.WithServiceTime(10*time.Millisecond, 0), emulator.WithObserver(ft.observe))
 		ft.processes = append(ft.processes, ps)
 	}
-	ft.processes[0].prepareTable(mixedRate, mixedBurst)
+	ft.processes[0].prepareTable(fleetRate, fleetBurst)
 	for _, ps := range ft.processes {
 		ps.key = ft.processes[0].key
 	}
@@ -126,21 +121,32 @@
 	}
 }
 
-// restart stops processes with SIGTERM and starts a program in their place.
-func restart(processes []*process, program string) {
+// restart stops processes with SIGTERM, starts a program in their place, and checks that the fleet serves at least half of the rate then.
+func (ft *fleet) restart(processes []*process, program string) {
+	ft.t.Helper()
+	time.Sleep(settleTime)
 	for _, ps := range processes {
 		if err := ps.command.Process.Signal(syscall.SIGTERM); err != nil {
-			ps.t.Fatal(err)
+			ft.t.Fatal(err)
 		}
 	}
 	for _, ps := range processes {
 		select {
 		case <-ps.exited:
 		case <-time.After(readyTimeout):
-			ps.t.Fatalf("a process does not stop within %v", readyTimeout)
+			ft.t.Fatalf("a process does not stop within %v", readyTimeout)
 		}
 		ps.start(program)
 	}
+	from := time.Now()
+	ft.mustServe()
+	time.Sleep(settleTime)
+	took := time.Since(from)
+	served := ft.runsBetween(from, from.Add(took))
+	ft.t.Logf("%d requests ran in %v after a restart", served, took.Round(time.Millisecond))
+	if least := fleetRate * took.Seconds() / 2; float64(served) < least {
+		ft.t.Errorf("%d requests ran in %v, %.0f are half of the rate", served, took, least)
+	}
 }
 
 // send starts the callers.
@@ -167,7 +173,7 @@
 // run sends a process its part of the requests, at a steady pace.
 func (ft *fleet) run(ps *process) {
 	defer ft.senders.Done()
-	tk := time.NewTicker(time.Second * time.Duration(len(ft.processes)) / (mixedRate * mixedDemand))
+	tk := time.NewTicker(time.Second * time.Duration(len(ft.processes)) / (fleetRate * fleetDemand))
 	defer tk.Stop()
 	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
 	defer client.CloseIdleConnections()
@@ -222,7 +228,7 @@
 	for _, from := range ft.runs {
 		most = max(most, ft.runsBetween(from, from.Add(window)))
 	}
-	allowed := int(mixedRate*window.Seconds()) + mixedBurst
+	allowed := int(fleetRate*window.Seconds()) + fleetBurst
 	ft.t.Logf("at most %d requests ran in %v, %d are allowed", most, window, allowed)
 	if most > allowed {
 		ft.t.Errorf("%d requests ran in %v, %d are allowed", most, window, allowed)
