crowd: the addresses of a process have names

The fleet of a restart chooses all addresses of a process before it starts, so that no two of its ports are the same; the runs that are counted are copied under the lock.

--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -56,11 +56,13 @@
 	nodeOnly bool
 	// seeds are the peers' addresses of processes to join.
 	seeds []netip.AddrPort
-	// host is the loopback address of the process, 127.0.0.1 by default; peers is its peers' address, by default one that is free.
-	host  netip.Addr
-	peers netip.AddrPort
+	// listen is where the process listens, by default at free ports of 127.0.0.1.
+	listen addresses
 }
 
+// addresses are where a process listens.
+type addresses struct{ callers, upstream, peers, operator netip.AddrPort }
+
 // binary is the file of the program under test, built by TestMain.
 var binary string
 
@@ -83,12 +85,12 @@
 
 // process is a running process of the system with its upstream.
 type process struct {
-	t                                  *testing.T
-	folder                             string
-	command                            *exec.Cmd
-	callers, upstream, peers, operator netip.AddrPort
-	key                                string
-	exited                             chan struct{}
+	addresses
+	t       *testing.T
+	folder  string
+	command *exec.Cmd
+	key     string
+	exited  chan struct{}
 	// These are in bytes. peakMemory includes what the kernel holds for the process.
 	peakMemory, peakReceived, peakSent atomic.Int64
 	peakDescriptors                    atomic.Int64
@@ -138,14 +140,10 @@
 // launch starts a process.
 func launch(t *testing.T, st settings) *process {
 	t.Helper()
-	if !st.host.IsValid() {
-		st.host = localhost
-	}
-	addrs := freeAddresses(t, st.host, 4)
-	if st.peers.IsValid() {
-		addrs[2] = st.peers
+	if st.listen == (addresses{}) {
+		st.listen = freeListenAddresses(t, localhost)
 	}
-	ps := &process{t: t, folder: t.TempDir(), callers: addrs[0], upstream: addrs[1], peers: addrs[2], operator: addrs[3]}
+	ps := &process{t: t, folder: t.TempDir(), addresses: st.listen}
 	if err := os.WriteFile(filepath.Join(ps.folder, "settings.toml"), []byte(ps.settingsText(st)), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -237,6 +235,13 @@
 	return out
 }
 
+// freeListenAddresses returns ports of a loopback address at which a process can listen.
+func freeListenAddresses(t *testing.T, host netip.Addr) addresses {
+	t.Helper()
+	free := freeAddresses(t, host, 4)
+	return addresses{callers: free[0], upstream: free[1], peers: free[2], operator: free[3]}
+}
+
 // prepareTable adds a row and a key.
 func (ps *process) prepareTable(rate, burst int) {
 	ps.t.Helper()
--- a/crowd/restart_test.go
+++ b/crowd/restart_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -86,12 +87,12 @@
 		host := netip.AddrFrom4([4]byte{127, 0, 1, byte(num + 1)})
 		all = append(all, settings{
 			instance: gypsumhoist.Instance(fmt.Sprintf("n%d", num+1)), nodeOnly: num > 0,
-			host: host, peers: freeAddresses(t, host, 1)[0],
+			listen: freeListenAddresses(t, host),
 		})
 	}
 	var seeds []netip.AddrPort
 	for _, ix := range seedIndices {
-		seeds = append(seeds, all[ix].peers)
+		seeds = append(seeds, all[ix].listen.peers)
 	}
 	for _, st := range all {
 		st.seeds = seeds
@@ -224,8 +225,11 @@
 // checkRate checks that no more requests ran in any 5 s than the rate and the burst allow.
 func (ft *fleet) checkRate() {
 	const window = 5 * time.Second
+	ft.mu.Lock()
+	runs := slices.Clone(ft.runs)
+	ft.mu.Unlock()
 	most := 0
-	for _, from := range ft.runs {
+	for _, from := range runs {
 		most = max(most, ft.runsBetween(from, from.Add(window)))
 	}
 	allowed := int(fleetRate*window.Seconds()) + fleetBurst
