registrar: an instance is ready once its table is confirmed

After a restart of the whole fleet, requests ran in an evacuated failure domain, and nodes that said that they were ready refused others with 503 table_stale.

Cause: an instance was ready with any table. In the traced run a control instance applied revisions 3, 4 and 6 of its log at 35.7959 s, and two nodes took revisions 2 and 5 from it meanwhile and opened; the evacuation is revision 6. hobart-slips-3 let a request run at 35.8606 s with revision=5 table_age=unknown, and had revision 6 39 ms later.

An answer states no age as long as nothing has confirmed its table. Only an age makes an instance ready now, which a replaying control instance does not have, and a neighbour that has served does. Without a quorum nodes open after 5 s, as without a table.

--- a/registrar/distributor.go
+++ b/registrar/distributor.go
@@ -150,8 +150,7 @@
 // Holder returns the holder of the process.
 func (ds *Distributor) Holder() *Holder { return ds.holder }
 
-// Ready returns a channel that is closed once the startup pulls have ended and the holder has a table or a confirmation,
-// or once a read barrier has confirmed the table.
+// Ready returns a channel that is closed once the startup pulls have ended and a source has confirmed the table, or once a read barrier has.
 // Before that a starting instance should take no calls, as its table may be older than that of its neighbours.
 func (ds *Distributor) Ready() <-chan struct{} { return ds.ready }
 
--- a/registrar/distributor_test.go
+++ b/registrar/distributor_test.go
@@ -162,6 +162,38 @@
 		})
 	})
 
+	It("is not ready with a table that no control instance has confirmed since the whole fleet restarted", func() {
+		withFleet(2, 4, func(fl *fleet) {
+			fl.apply("", newRow("derwent", "/slips"))
+			until(time.Second, func() bool { return inForce(1, fl.order...) })
+			fl.stop()
+			for _, nd := range fl.order {
+				nd.noQuorum.Store(nd.self.Control)
+				nd.restart()
+			}
+			ready := func() int {
+				count := 0
+				for _, nd := range fl.order {
+					select {
+					case <-nd.distributor.Ready():
+						count++
+					default:
+					}
+				}
+				return count
+			}
+			time.Sleep(3 * time.Second)
+			Expect(fl.node("n0").holder.Current().Revision()).To(BeEquivalentTo(1))
+			Expect(ready()).To(BeZero())
+			apply(fl.state, "", edit("derwent", "/slips", 1, "rate=9"))
+			for _, nd := range fl.order {
+				nd.noQuorum.Store(false)
+			}
+			Expect(until(registrar.ApplyWithin, func() bool { return ready() == len(fl.order) })).To(BeNumerically(">=", 0))
+			Expect(inForce(2, fl.order...)).To(BeTrue())
+		})
+	})
+
 	It("stays fresh when parents and a control instance fail, and names an instance that failed", func() {
 		withFleet(2, 20, func(fl *fleet) {
 			failed := []gypsumhoist.Instance{"c0", "n0", "n1", "n2", "n3", "n4", "n5"}
--- a/registrar/puller.go
+++ b/registrar/puller.go
@@ -121,11 +121,12 @@
 			return
 		}
 	}
-	pl.markReadyIfSynced()
+	pl.markReadyIfConfirmed()
 }
 
-func (pl *puller) markReadyIfSynced() {
-	if pl.ds.holder.Current() != nil || pl.ds.holder.Age() != AgeUnknown {
+// markReadyIfConfirmed doesn't take a table that was not confirmed: after a restart of the whole fleet, the sources may still be replaying the log.
+func (pl *puller) markReadyIfConfirmed() {
+	if pl.ds.holder.Age() != AgeUnknown {
 		pl.ds.markReady()
 	}
 }
@@ -220,7 +221,7 @@
 		pl.held = nil
 	}
 	if re.err == nil {
-		pl.markReadyIfSynced()
+		pl.markReadyIfConfirmed()
 	}
 	if re.err != nil || re.age > lateAfter {
 		pl.fail(sc, re.err == nil, now)
