--- a/server/export_test.go
+++ b/server/export_test.go
@@ -67,3 +67,14 @@
 ) (replicator.Member, bool) {
 	return dp.removable(cfg, find, now)
 }
+
+// RunCollector runs a collector until dying is closed. It returns a channel that is closed once it has ended.
+func RunCollector(pressure <-chan bool, dying <-chan struct{}) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// It returns no error.
+		_ = (&collector{pressure: pressure, dying: dying}).loop()
+	}()
+	return ended
+}
