connector: received bytes are buffered without garbage

A reader that waited kept a buffer of up to 16 KiB that nothing charged, and bytes that the server had taken stay allocated until the connection's buffer was empty.

Cause: the buffer of a connection grew by append and was dropped each time the server had emptied it, and the reader's own buffer grew with each full read.

The reader has a fixed buffer of 4 KiB. What the server has not read is in a space of a size that is charged for, which other connections reuse, and which shrinks once little is left.

--- a/connector/export_test.go
+++ b/connector/export_test.go
@@ -33,3 +33,29 @@
 		notifyState(cn, state)
 	}
 }
+
+// ReceiveBuffer exports receiveBuffer to tests.
+type ReceiveBuffer struct{ rb receiveBuffer }
+
+// Append exports append.
+func (rb *ReceiveBuffer) Append(part []byte) { rb.rb.append(part) }
+
+// Prepend exports prepend.
+func (rb *ReceiveBuffer) Prepend(part []byte) { rb.rb.prepend(part) }
+
+// Remove exports remove.
+func (rb *ReceiveBuffer) Remove(num int) { rb.rb.remove(num) }
+
+// Shrink exports shrink.
+func (rb *ReceiveBuffer) Shrink() { rb.rb.shrink() }
+
+// Unread returns the unread bytes.
+func (rb *ReceiveBuffer) Unread() []byte { return rb.rb.unread }
+
+// Size returns the memory of the buffer, in bytes.
+func (rb *ReceiveBuffer) Size() int {
+	if rb.rb.space == nil {
+		return 0
+	}
+	return len(rb.rb.space.bytes)
+}
--- a/connector/pipeconn.go
+++ b/connector/pipeconn.go
@@ -13,9 +13,9 @@
 
 // Limits of pipelining.
 const (
-	pipeReadBytes = 2 << 10 // bytes per read from a client that sends little
+	pipeReadBytes = 4 << 10 // bytes per read from a client
 	// pipeKeepBytes is how much a connection holds that the server has not read yet; more, up to pipeAheadBytes, is charged in steps of aheadStep.
-	pipeKeepBytes  = 2 << 10
+	pipeKeepBytes  = 4 << 10
 	pipeAheadBytes = 64 << 10
 	aheadStep      = 16 << 10
 )
@@ -45,9 +45,9 @@
 	mu sync.Mutex
 	// arrived is signaled when there is something new to read, or room for it.
 	arrived      sync.Cond
-	buffered     []byte // read from the client, not yet passed to the server
-	ahead        int64  // charged for what is buffered beyond pipeKeepBytes
-	readErr      error  // that ended the reception
+	buffered     receiveBuffer // read from the client, not yet passed to the server
+	ahead        int64         // charged for what is buffered beyond pipeKeepBytes
+	readErr      error         // that ended the reception
 	readDeadline time.Time
 	readTimer    *time.Timer
 	// ctx is that of the connection's requests, and cancel ends it; nil before the server has the connection.
@@ -79,41 +79,32 @@
 
 // run reads what the client sends until the connection ends.
 func (pc *pipeConn) run() {
-	size := pipeReadBytes
-	buf := make([]byte, size)
+	var buf [pipeReadBytes]byte
 	for {
-		num, err := pc.Conn.Read(buf[:pc.waitForRoom(size)])
+		num, err := pc.Conn.Read(buf[:pc.waitForRoom()])
 		pc.receive(buf[:num], err)
 		if err != nil {
 			return
 		}
-		switch {
-		case num == size && size < aheadStep:
-			size *= 2
-			buf = make([]byte, size)
-		case num < pipeReadBytes && size > pipeReadBytes:
-			size = pipeReadBytes
-			buf = make([]byte, size)
-		}
 	}
 }
 
-// waitForRoom waits until the buffer has room and returns how much, size at most.
-func (pc *pipeConn) waitForRoom(size int) int {
+// waitForRoom waits until the buffer has room and returns how much, pipeReadBytes at most.
+func (pc *pipeConn) waitForRoom() int {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	for !pc.discarding {
-		room := pipeKeepBytes + int(pc.ahead) - len(pc.buffered)
+		room := pipeKeepBytes + int(pc.ahead) - pc.buffered.len()
 		if room <= 0 && pc.ahead < pipeAheadBytes && pc.listener.accountant.tryPipelined(pc.listener.port, aheadStep) {
 			pc.ahead += aheadStep
 			room += aheadStep
 		}
 		if room > 0 {
-			return min(room, size)
+			return min(room, pipeReadBytes)
 		}
 		pc.arrived.Wait()
 	}
-	return size
+	return pipeReadBytes
 }
 
 // receive takes what was read. An error ends the connection and the contexts of its requests: nobody waits for their responses.
@@ -121,7 +112,7 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	if !pc.discarding {
-		pc.buffered = append(pc.buffered, part...)
+		pc.buffered.append(part)
 	}
 	if err != nil {
 		pc.readErr = err
@@ -146,17 +137,15 @@
 // discard drops what the server has not read and what still arrives. The mutex is held.
 func (pc *pipeConn) discard() {
 	pc.discarding = true
-	pc.take(len(pc.buffered))
+	pc.take(pc.buffered.len())
 	pc.arrived.Broadcast()
 }
 
 // take removes bytes from the front of the buffer. The mutex is held.
 func (pc *pipeConn) take(num int) {
-	pc.buffered = pc.buffered[num:]
-	if len(pc.buffered) == 0 {
-		pc.buffered = nil
-	}
-	if pc.ahead > 0 && len(pc.buffered) < pipeKeepBytes/2 {
+	pc.buffered.remove(num)
+	if pc.ahead > 0 && pc.buffered.len() < pipeKeepBytes/2 {
+		pc.buffered.shrink()
 		pc.listener.accountant.add(pc.listener.port, -pc.ahead)
 		pc.ahead = 0
 	}
@@ -192,7 +181,7 @@
 		case !time.Now().Before(pc.readDeadline):
 			return os.ErrDeadlineExceeded
 		}
-		if len(pc.buffered) > num {
+		if pc.buffered.len() > num {
 			return nil
 		}
 		pc.scheduleDeadline()
@@ -262,7 +251,7 @@
 	if err := pc.await(0); err != nil {
 		return 0, err
 	}
-	num := copy(buf, pc.buffered)
+	num := copy(buf, pc.buffered.unread)
 	pc.take(num)
 	return num, nil
 }
@@ -278,7 +267,7 @@
 func (pc *pipeConn) unread(part []byte) {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	pc.buffered = append(slices.Clone(part), pc.buffered...)
+	pc.buffered.prepend(part)
 }
 
 // splitHead moves bytes beyond the end of the head to the buffer and returns how many of the bytes belong to the head.
@@ -359,10 +348,10 @@
 		if err := pc.await(seen); err != nil {
 			return nil, err
 		}
-		if end := bytes.Index(pc.buffered, headEnd); end >= 0 {
-			return slices.Clone(pc.buffered[:end+len(headEnd)]), nil
+		if end := bytes.Index(pc.buffered.unread, headEnd); end >= 0 {
+			return slices.Clone(pc.buffered.unread[:end+len(headEnd)]), nil
 		}
-		if seen = len(pc.buffered); seen >= pipeMaxHeadBytes {
+		if seen = pc.buffered.len(); seen >= pipeMaxHeadBytes {
 			return nil, nil
 		}
 	}
@@ -375,9 +364,9 @@
 	defer pc.mu.Unlock()
 	for {
 		if pc.closing {
-			pc.take(len(pc.buffered))
+			pc.take(pc.buffered.len())
 		}
-		if err := pc.await(len(pc.buffered)); err != nil {
+		if err := pc.await(pc.buffered.len()); err != nil {
 			return err
 		}
 	}
@@ -405,7 +394,7 @@
 	}
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	pc.buffered = append(head, pc.buffered...)
+	pc.buffered.prepend(head)
 	pc.listener.accountant.add(pc.listener.port, -cost)
 	pc.slots = slices.DeleteFunc(pc.slots, func(rs *responseSlot) bool { return rs == rc.slot })
 	return false
